--- /dev/null
+++ b/brasstrail/coordination/allotments.py
@@ -0,0 +1,149 @@
+"""Allotments of workspaces, shared by all gateways without asking one another.
+
+Each gateway counts what it lets in and hears from the others what they have let
+in. All keep the same bucket: it fills at the workspace's rate up to the burst, and
+everything that any gateway let in is taken from it. What was let in since the
+others last spoke is covered by the bound's slack.
+
+A gateway that is silent may be cut off and serving. It is taken to spend its even
+share, and a gateway that hears nobody spends no more than its own even share, so
+that the sum keeps to the rate however the gateways are cut apart.
+"""
+
+import dataclasses
+
+from brasstrail.core import catalog
+
+# Gateways speak once a second at least.
+SILENT_AFTER_MS = 3000
+MS_PER_SECOND = 1000
+# A refused caller is not sent away for longer than this.
+MAX_WAIT_S = 10.0
+
+
+@dataclasses.dataclass
+class Bucket:
+    """What a workspace may still spend, over all gateways."""
+
+    level: float
+    filled_ms: int
+
+
+@dataclasses.dataclass
+class Peer:
+    """What another gateway has said of its spending."""
+
+    incarnation: int
+    heard_ms: int
+    spent: dict
+    charged_ms: int
+
+
+class Allotments:
+    """The buckets of all workspaces, as this gateway sees them.
+
+    Parameters
+    ----------
+    now_ms : the present time.
+    """
+
+    def __init__(self, now_ms):
+        self.started_ms = now_ms
+        self.buckets = {}
+        self.spent = {}
+        self.peers = {}
+        self.rates = {}
+
+    def configure(self, workspaces, now_ms):
+        """Take the workspaces of a catalog."""
+        rates = {each.workspace: each.allotment for each in workspaces}
+        for name, allotment in rates.items():
+            self.fill_bucket(name, now_ms)
+            bucket = self.buckets.get(name)
+            if bucket is None:
+                self.buckets[name] = Bucket(allotment.burst, now_ms)
+            else:
+                bucket.level = min(bucket.level, allotment.burst)
+        self.rates = rates
+
+    def set_peers(self, names, now_ms):
+        """Take the names of the other gateways that are alive."""
+        for name in set(self.peers) - set(names):
+            if now_ms - self.peers[name].heard_ms > 2 * SILENT_AFTER_MS:
+                del self.peers[name]
+        for name in names:
+            if name not in self.peers:
+                self.peers[name] = Peer(0, now_ms, {}, now_ms)
+
+    def hear(self, name, incarnation, spent, now_ms):
+        """Take what another gateway has spent since it started.
+
+        Parameters
+        ----------
+        spent : the sums by workspace.
+        """
+        peer = self.peers.get(name)
+        if peer is None or peer.incarnation != incarnation:
+            self.peers[name] = Peer(incarnation, now_ms, dict(spent), now_ms)
+            return
+        for workspace, total in spent.items():
+            fresh = total - peer.spent.get(workspace, 0.0)
+            if fresh > 0:
+                self.charge(workspace, fresh, now_ms)
+                peer.spent[workspace] = total
+        peer.heard_ms = now_ms
+
+    def take(self, workspace, cost, now_ms):
+        """Take a cost from a workspace; return 0, or the seconds to wait.
+
+        A cost above the whole burst is let in when the bucket is full.
+        """
+        allotment = self.rates.get(workspace, catalog.Allotment())
+        if not allotment.rate:
+            return 0.0
+        self.fill_bucket(workspace, now_ms)
+        bucket = self.buckets[workspace]
+        needed = min(cost, allotment.burst)
+        if bucket.level < needed:
+            rate = self.usable_rate(allotment, now_ms)
+            return min(MAX_WAIT_S, (needed - bucket.level) / rate)
+        bucket.level -= cost
+        self.spent[workspace] = self.spent.get(workspace, 0.0) + cost
+        return 0.0
+
+    def give_back(self, workspace, cost):
+        """Return the cost of a request that no server has run."""
+        bucket = self.buckets.get(workspace)
+        if bucket is None or not self.rates[workspace].rate:
+            return
+        bucket.level += cost
+        self.spent[workspace] = self.spent.get(workspace, 0.0) - cost
+
+    def charge(self, workspace, cost, now_ms):
+        """Take what another gateway has let in."""
+        if workspace in self.buckets and workspace in self.rates:
+            self.fill_bucket(workspace, now_ms)
+            self.buckets[workspace].level -= cost
+
+    def silent_count(self, now_ms):
+        """Return how many gateways have not spoken lately."""
+        return sum(
+            now_ms - peer.heard_ms > SILENT_AFTER_MS for peer in self.peers.values()
+        )
+
+    def usable_rate(self, allotment, now_ms):
+        """Return the part of a rate that is not kept for silent gateways."""
+        count = len(self.peers) + 1
+        return allotment.rate * (count - self.silent_count(now_ms)) / count
+
+    def fill_bucket(self, workspace, now_ms):
+        """Let a bucket fill up to the present time."""
+        bucket = self.buckets.get(workspace)
+        allotment = self.rates.get(workspace)
+        if bucket is None or allotment is None:
+            return
+        elapsed_s = max(0, now_ms - bucket.filled_ms) / MS_PER_SECOND
+        gained = elapsed_s * self.usable_rate(allotment, now_ms)
+        bucket.filled_ms = now_ms
+        if bucket.level < allotment.burst:
+            bucket.level = min(allotment.burst, bucket.level + gained)
--- /dev/null
+++ b/brasstrail/coordination/pool.py
@@ -0,0 +1,365 @@
+"""Which backend server a request goes to, and which request waits for which.
+
+A `Pool` is a state machine without sockets and clocks. It knows the servers of
+all services, what this gateway runs on each, what the other gateways say they
+run, and what calls have shown of each server's speed and health.
+
+Engines admit whatever comes and know no tiers. So a request is bound to a server
+only when that server has room, by the sum over all gateways; until then it waits
+here, the highest tier first and the oldest first within a tier. A request whose
+time will be over before its turn is refused at once.
+"""
+
+import dataclasses
+import itertools
+
+from brasstrail.core import servers
+
+# A plain server is given this many requests for each of its slots.
+PLAIN_DEPTH = 2.0
+# Prompt tokens an engine reads in a millisecond until its own speed is known.
+FIRST_TOKENS_PER_MS = 30.0
+# Milliseconds that a token of output takes until the speed is known.
+FIRST_TOKEN_MS = 5.0
+SPEED_WEIGHT = 0.2
+# What the way to a server is worth, in milliseconds of delay: its round trip, and
+# the price of the bytes that cross.
+NEAR_MS = 0.0
+REGION_MS = 15.0
+FAR_MS = 110.0
+# A server that failed is left alone for a while that doubles with each failure.
+FIRST_REST_MS = 300
+LONGEST_REST_MS = 5000
+# A failure rate above this keeps a server from what can go elsewhere.
+FAILURE_WEIGHT = 0.2
+# Other gateways' shares count no more after this silence; they speak every second.
+SHARE_LIFE_MS = 2500
+
+
+@dataclasses.dataclass(frozen=True)
+class Work:
+    """What a request asks of a server.
+
+    `give_up_ms` is the time at which its caller waits no longer.
+    """
+
+    identity: str
+    service: str
+    tier: int
+    arrived_ms: int
+    give_up_ms: int
+    input_tokens: int = 0
+    output_tokens: int = 0
+    parts: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Share:
+    """What one gateway runs on one server."""
+
+    running: int
+    input_tokens: int
+    output_tokens: int
+
+
+@dataclasses.dataclass
+class Server:
+    """A server and what is known of it here.
+
+    Attributes
+    ----------
+    reading : work whose first answer has not come yet, by identity.
+    running : all work that this gateway has there, by identity.
+    shares : (share, heard_ms) of the other gateways, by name.
+    slowness : how many times as long as expected a first answer takes.
+    failures : the moving rate of failed calls, 0 to 1.
+    """
+
+    announcement: servers.Announcement
+    silent: bool = False
+    reading: dict = dataclasses.field(default_factory=dict)
+    running: dict = dataclasses.field(default_factory=dict)
+    shares: dict = dataclasses.field(default_factory=dict)
+    slowness: float = 1.0
+    failures: float = 0.0
+    rest_ms: int = 0
+    rest_until_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Choice:
+    """The server chosen for a request, and what decided."""
+
+    identity: str
+    score_ms: float
+    running: int
+    others: int
+    candidates: int
+
+
+class Pool:
+    """The servers and the waiting requests of one gateway.
+
+    Parameters
+    ----------
+    node : `settings.Node` of the process.
+    regions : the region of each data centre.
+    """
+
+    def __init__(self, node, regions):
+        self.node = node
+        self.regions = regions
+        self.servers = {}
+        self.engines = {}
+        self.waiting = {}
+        self.numbers = itertools.count()
+        self.dispatched = 0
+        self.started_at = []
+
+    # What is known of servers.
+
+    def configure(self, services):
+        """Take the services of a catalog."""
+        self.engines = {each.name: each.engine for each in services}
+
+    def put_server(self, announcement, silent):
+        """Take what control hosts say of a server."""
+        server = self.servers.get(announcement.identity)
+        if announcement.phase is servers.ServerPhase.GONE:
+            self.servers.pop(announcement.identity, None)
+            return
+        if server is None or server.announcement.born_ms != announcement.born_ms:
+            self.servers[announcement.identity] = Server(announcement, silent)
+            return
+        server.announcement = announcement
+        server.silent = silent
+        if not silent:
+            server.rest_until_ms = min(server.rest_until_ms, server.rest_until_ms)
+
+    def remove_server(self, identity):
+        """Forget a server."""
+        self.servers.pop(identity, None)
+
+    def hear(self, name, shares, now_ms):
+        """Take what another gateway runs.
+
+        Parameters
+        ----------
+        shares : `Share` by server identity; servers that are not named run nothing.
+        """
+        for identity, server in self.servers.items():
+            share = shares.get(identity)
+            if share is None:
+                server.shares.pop(name, None)
+            else:
+                server.shares[name] = (share, now_ms)
+
+    def own_shares(self):
+        """Return what this gateway runs, by server identity."""
+        return {
+            identity: Share(
+                len(server.running),
+                sum(work.input_tokens for work in server.reading.values()),
+                sum(work.output_tokens for work in server.running.values()),
+            )
+            for identity, server in self.servers.items()
+            if server.running
+        }
+
+    # What calls show.
+
+    def start(self, identity, work):
+        """Note that a request was sent to a server."""
+        server = self.servers.get(identity)
+        if server is not None:
+            server.running[work.identity] = work
+            server.reading[work.identity] = work
+
+    def first_answer(self, identity, work, elapsed_ms, expected_ms):
+        """Note that a server has begun to answer."""
+        server = self.servers.get(identity)
+        if server is None:
+            return
+        server.reading.pop(work.identity, None)
+        ratio = min(20.0, max(0.2, elapsed_ms / max(1.0, expected_ms)))
+        server.slowness += SPEED_WEIGHT * (ratio - server.slowness)
+
+    def finish(self, identity, work):
+        """Note that a request is no longer at a server."""
+        server = self.servers.get(identity)
+        if server is not None:
+            server.running.pop(work.identity, None)
+            server.reading.pop(work.identity, None)
+
+    def succeeded(self, identity):
+        """Note that a server has answered well."""
+        server = self.servers.get(identity)
+        if server is not None:
+            server.failures -= FAILURE_WEIGHT * server.failures
+            server.rest_ms = 0
+
+    def failed(self, identity, now_ms, rests):
+        """Note that a server has failed; `rests` leaves it alone for a while."""
+        server = self.servers.get(identity)
+        if server is None:
+            return
+        server.failures += FAILURE_WEIGHT * (1.0 - server.failures)
+        if rests:
+            doubled = max(FIRST_REST_MS, 2 * server.rest_ms)
+            server.rest_ms = min(LONGEST_REST_MS, doubled)
+            server.rest_until_ms = now_ms + server.rest_ms
+
+    # Choosing.
+
+    def choose(self, work, tried, now_ms):
+        """Return the `Choice` for a request, or None where there is no room.
+
+        Parameters
+        ----------
+        tried : the identities of servers not to be chosen again.
+        """
+        best = None
+        candidates = 0
+        for identity, server in self.servers.items():
+            if not self.is_usable(server, work.service, now_ms) or identity in tried:
+                continue
+            if not self.has_room(server, now_ms):
+                continue
+            candidates += 1
+            score = self.score(server, work, now_ms)
+            if best is None or score < best[0]:
+                best = (score, identity, server)
+        if best is None:
+            return None
+        score, identity, server = best
+        own = len(server.running)
+        others = self.total_running(server, now_ms) - own
+        return Choice(identity, score, own, others, candidates)
+
+    def is_usable(self, server, service, now_ms):
+        """Return whether a server takes new work of a service."""
+        announcement = server.announcement
+        if announcement.service != service:
+            return False
+        if announcement.phase is not servers.ServerPhase.READY:
+            return False
+        return now_ms >= server.rest_until_ms
+
+    def has_servers(self, service):
+        """Return whether any server of a service is known to be ready."""
+        return any(
+            server.announcement.service == service
+            and server.announcement.phase is servers.ServerPhase.READY
+            for server in self.servers.values()
+        )
+
+    def total_running(self, server, now_ms):
+        """Return how many requests all gateways have at a server."""
+        return len(server.running) + sum(
+            share.running for share in self.live_shares(server, now_ms)
+        )
+
+    def live_shares(self, server, now_ms):
+        """Yield the other gateways' shares that are not too old."""
+        for share, heard_ms in server.shares.values():
+            if now_ms - heard_ms <= SHARE_LIFE_MS:
+                yield share
+
+    def capacity(self, server):
+        """Return how many requests a server is given at a time."""
+        if self.engines.get(server.announcement.service) is not None:
+            return server.announcement.slots
+        return server.announcement.slots * PLAIN_DEPTH
+
+    def has_room(self, server, now_ms):
+        """Return whether a server may be given one more request."""
+        return self.total_running(server, now_ms) < self.capacity(server)
+
+    def score(self, server, work, now_ms):
+        """Return the expected delay of a first answer, with what the way costs."""
+        reading = sum(item.input_tokens for item in server.reading.values())
+        reading += sum(share.input_tokens for share in self.live_shares(server, now_ms))
+        running = self.total_running(server, now_ms)
+        expected_ms = self.expected_ms(work, reading) + running * FIRST_TOKEN_MS
+        delay_ms = expected_ms * server.slowness
+        if server.silent:
+            delay_ms += FAR_MS
+        delay_ms *= 1.0 + 4.0 * server.failures
+        return delay_ms + self.way_ms(server.announcement.data_centre)
+
+    def expected_ms(self, work, reading):
+        """Return how long a first answer takes at a server of usual speed."""
+        return 20.0 + (work.input_tokens + reading) / FIRST_TOKENS_PER_MS
+
+    def way_ms(self, data_centre):
+        """Return what the way to a data centre is worth."""
+        if data_centre == self.node.data_centre:
+            return NEAR_MS
+        if self.regions.get(data_centre) == self.node.region:
+            return REGION_MS
+        return FAR_MS
+
+    # Waiting.
+
+    def enqueue(self, work, tried):
+        """Let a request wait for room; return its ticket."""
+        ticket = next(self.numbers)
+        self.waiting[ticket] = (work, tried)
+        return ticket
+
+    def leave(self, ticket):
+        """Take a request out of the queue."""
+        self.waiting.pop(ticket, None)
+
+    def take_turns(self, now_ms):
+        """Return (ticket, choice) pairs for those whose turn has come.
+
+        The work counts as started at the chosen server.
+        """
+        turns = []
+        blocked = set()
+        for ticket, (work, tried) in self.in_order():
+            if work.service in blocked:
+                continue
+            choice = self.choose(work, tried, now_ms)
+            if choice is None:
+                if not tried:
+                    blocked.add(work.service)
+                continue
+            del self.waiting[ticket]
+            self.start(choice.identity, work)
+            self.note_start(work, now_ms)
+            turns.append((ticket, choice))
+        return turns
+
+    def in_order(self):
+        """Return the waiting requests, those to be served first at the head."""
+        return sorted(self.waiting.items(), key=lambda item: (item[1][0].tier, item[0]))
+
+    def note_start(self, work, now_ms):
+        """Remember a start, from which the pace of a service is measured."""
+        self.started_at.append((now_ms, work.service))
+        while self.started_at and self.started_at[0][0] < now_ms - PACE_WINDOW_MS:
+            self.started_at.pop(0)
+
+    def expected_wait_ms(self, work, now_ms):
+        """Return how long a request that waits will wait, by the present pace."""
+        ahead = sum(
+            1
+            for other, _ in self.waiting.values()
+            if other.service == work.service and other.tier <= work.tier
+        )
+        recent = [
+            when
+            for when, service in self.started_at
+            if service == work.service and when >= now_ms - PACE_WINDOW_MS
+        ]
+        if len(recent) < MIN_PACE_STARTS:
+            return ahead * DEFAULT_TURN_MS
+        return ahead * PACE_WINDOW_MS / len(recent)
+
+
+# The pace of starts is measured over the last two seconds.
+PACE_WINDOW_MS = 2000
+MIN_PACE_STARTS = 4
+DEFAULT_TURN_MS = 150.0
--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -666,9 +666,9 @@
         node.log.append(messages.Entry(2, node.term, b"", node.log.voters, (newcomer,)))
         node.commit = 2
         node.progress_of("c/new").match = 1
-        self.assertIsNone(replica.next_step(node, {"c": newcomer}))
+        self.assertIsNone(replica.next_step(node, {"c": newcomer}, 3))
         node.progress_of("c/new").match = 2
-        voters, learners = replica.next_step(node, {"c": newcomer})
+        voters, learners = replica.next_step(node, {"c": newcomer}, 3)
         self.assertIn(newcomer, voters)
         self.assertEqual(learners, ())
 
--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -23,6 +23,9 @@
 
 PROBE_INTERVAL_MS = 200
 CHECK_PATIENCE_MS = 1500
+# Longer than an election, so that no voter goes for a change of leader, and short
+# enough that a replacement is complete within the users' bound of 4 s.
+REPLACE_AFTER_MS = 2000
 
 
 class Phase(enum.StrEnum):
@@ -61,7 +64,8 @@
 
     Parameters
     ----------
-    hosts : the names of the cluster's first control hosts.
+    hosts : the names of the cluster's first control hosts; empty where this
+        replica may not found one.
     stored : `Stored`, what the data folder held.
     random : a `random.Random`.
     now_ms : the present time.
@@ -70,10 +74,14 @@
     ----------
     raft : the replicated log, or None as long as the replica is blank.
     discard : whether this identity must be given up.
+    known : the names of other control hosts to show this replica to.
+    wanted_voters : how many voters there are to be; 0 means as many as founders.
     """
 
     def __init__(self, hosts, stored, random, now_ms):
         self.hosts = tuple(hosts)
+        self.known = ()
+        self.wanted_voters = 0
         self.identity = stored.identity
         self.random = random
         self.started_ms = now_ms
@@ -98,7 +106,7 @@
 
     def others(self):
         """Return the hosts to probe, apart from this one."""
-        hosts = set(self.hosts)
+        hosts = set(self.hosts) | set(self.known)
         if self.raft is not None:
             hosts |= {raft.host_of(identity) for identity in self.raft.members()}
         return sorted(hosts - {self.identity.name})
@@ -242,7 +250,8 @@
 
     def improve_replicas(self):
         """Propose the next step of a replacement, if there is one."""
-        step = next_step(self.raft, self.newcomers)
+        wanted = self.wanted_voters or len(self.identity.founders)
+        step = next_step(self.raft, self.newcomers, wanted)
         if step is not None:
             self.raft.change_replicas(*step)
 
@@ -266,27 +275,32 @@
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
 
 
-def next_step(node, newcomers):
+def next_step(node, newcomers, wanted):
     """Return the voters and learners to propose next, or None.
 
     Parameters
     ----------
     node : the leader's `raft.Raft`.
     newcomers : the replicas that showed themselves, by host.
+    wanted : how many voters there are to be.
 
     A newcomer becomes a learner. A learner that holds all that is committed
-    becomes a voter where its host has a vote. Of two voters of one host the
-    earlier one then goes.
+    becomes a voter where its host has a vote, where voters are too few, or where
+    one of them is silent. Of two voters of one host the earlier one then goes, and
+    so does a silent voter where there are more than are wanted.
     """
     voters, learners = node.log.voters, node.log.learners
     for voter in voters:
         later = [item for item in voters if item.name == voter.name]
         if len(later) > 1 and later[-1] != voter and is_newest(voter, newcomers):
             return without(voters, voter), learners
+    silent = silent_voters(node)
+    if silent and len(voters) > wanted:
+        return without(voters, silent[0]), learners
     for learner in learners:
         host_votes = any(voter.name == learner.name for voter in voters)
-        progress = node.progress.get(raft.replica_id(learner))
-        if host_votes and progress and progress.match >= node.commit:
+        is_needed = host_votes or len(voters) < wanted or silent
+        if is_needed and is_current(node, learner):
             return (*voters, learner), without(learners, learner)
     for newcomer in newcomers.values():
         if newcomer in voters or newcomer in learners:
@@ -296,6 +310,28 @@
     return None
 
 
+def silent_voters(node):
+    """Return the voters that the leader has not heard lately, longest first."""
+    silent = []
+    for voter in node.log.voters:
+        progress = node.progress.get(raft.replica_id(voter))
+        if progress is None:
+            continue
+        silence_ms = node.now_ms - progress.heard_ms
+        if silence_ms > REPLACE_AFTER_MS:
+            silent.append((silence_ms, voter))
+    silent.sort(key=lambda pair: -pair[0])
+    return [voter for _, voter in silent]
+
+
+def is_current(node, learner):
+    """Return whether a learner answers and holds all that is committed."""
+    progress = node.progress.get(raft.replica_id(learner))
+    if progress is None or progress.match < node.commit:
+        return False
+    return node.now_ms - progress.heard_ms <= raft.ELECTION_MIN_MS
+
+
 def is_newest(voter, newcomers):
     """Return whether another replica than `voter` speaks for its host now."""
     return newcomers.get(voter.name) != voter
--- /dev/null
+++ b/brasstrail/coordination/retries.py
@@ -0,0 +1,48 @@
+"""The budget of second sendings, kept by each gateway from its own requests.
+
+Sums over all gateways keep to the bound because each gateway spends only a part
+that its own requests earn, and an even part of the fixed slack.
+"""
+
+import collections
+
+# Half of the stated bound: requests and sendings of one window are not counted in
+# the same window everywhere.
+SAFETY = 0.5
+
+
+class Budget:
+    """The second sendings that one gateway may still make to a service.
+
+    Parameters
+    ----------
+    settings : `settings.GatewayRole`, which holds ratio, slack and window.
+    """
+
+    def __init__(self, settings):
+        self.ratio = settings.retry_ratio * SAFETY
+        self.slack = settings.retry_slack * SAFETY
+        self.window_ms = 1000 * settings.retry_window_s
+        self.gateways = 1
+        self.requests = collections.defaultdict(collections.deque)
+        self.sendings = collections.defaultdict(collections.deque)
+
+    def note_request(self, service, now_ms):
+        """Count a request for a service."""
+        self.requests[service].append(now_ms)
+
+    def take(self, service, now_ms):
+        """Count a second sending if there is room; return whether there was."""
+        requests = self.recent(self.requests[service], now_ms)
+        sendings = self.recent(self.sendings[service], now_ms)
+        allowed = self.ratio * len(requests) + self.slack / self.gateways
+        if len(sendings) + 1 > allowed:
+            return False
+        sendings.append(now_ms)
+        return True
+
+    def recent(self, times, now_ms):
+        """Drop the times that lie before the window and return the rest."""
+        while times and times[0] <= now_ms - self.window_ms:
+            times.popleft()
+        return times
--- a/brasstrail/protocol/commands.py
+++ b/brasstrail/protocol/commands.py
@@ -141,6 +141,17 @@
     fingerprint: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ReplaceDocument:
+    """An operator's whole document; it applies only if its version is higher.
+
+    `packed` is the document as the operator sent it, compressed.
+    """
+
+    version: int
+    packed: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigResult:
     """The result of `ChangeConfig`.
@@ -192,6 +203,7 @@
     Suspect,
     LiftSuspicion,
     FoundCluster,
+    ReplaceDocument,
 )
 
 RESULTS = (ConfigResult, ExecutionResult, Plain)
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -487,6 +487,103 @@
     founders: tuple[Replica, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Watch:
+    """A gateway's beat to the control host that it follows.
+
+    `document_version` is the document that it holds, `needs_directory` asks for
+    all known servers. The answer is `Current`, with what the gateway lacks sent
+    before it. `address` is where the other gateways reach this one.
+    """
+
+    beat_id: int
+    document_version: int
+    needs_directory: bool
+    address: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Current:
+    """Confirms a beat: a quorum knew of no newer document after it arrived."""
+
+    beat_id: int
+    document_version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Document:
+    """The operators' document of a version, compressed."""
+
+    version: int
+    packed: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerRecord:
+    """A backend server as control hosts and gateways know it."""
+
+    identity: str
+    service: str
+    address: str
+    data_centre: str
+    phase: str
+    born_ms: int
+    sequence: int
+    slots: int
+    cold_ms: float
+    age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Directory:
+    """What has changed of the known servers.
+
+    `complete` says that servers which are not named here are not known to a
+    control host that has listened for long enough.
+    """
+
+    complete: bool
+    records: tuple[ServerRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class Gateways:
+    """The gateways that are alive, and the peer addresses of control hosts."""
+
+    names: tuple[str, ...]
+    addresses: tuple[str, ...]
+    control_addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerShare:
+    """The work that one gateway has at one server."""
+
+    identity: str
+    running: int
+    input_tokens: int
+    output_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Spent:
+    """What a workspace has spent at one gateway since the gateway started."""
+
+    workspace: str
+    amount: float
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayState:
+    """What a gateway tells the others, in one datagram."""
+
+    name: str
+    incarnation: int
+    number: int
+    shares: tuple[ServerShare, ...]
+    spent: tuple[Spent, ...]
+
+
 MESSAGES = (
     Offer,
     Withdraw,
@@ -525,6 +622,12 @@
     ReplicaProbe,
     ProbeReply,
     Follow,
+    Watch,
+    Current,
+    Document,
+    Directory,
+    Gateways,
+    GatewayState,
 )
 
 HANDSHAKE = (Challenge, Hello, Welcome)
--- a/brasstrail/protocol/snapshots.py
+++ b/brasstrail/protocol/snapshots.py
@@ -28,6 +28,8 @@
     suspicions: tuple[data.Suspicion, ...]
     last_change: str = ""
     view_index: int = 0
+    document_version: int = 0
+    document: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -257,6 +257,42 @@
   entry @0 :Text;
 }
 
+struct Watch {
+  beatId @0 :Int64;
+  documentVersion @1 :Int64;
+  needsDirectory @2 :Bool;
+  address @3 :Text;
+}
+
+struct Current {
+  beatId @0 :Int64;
+  documentVersion @1 :Int64;
+}
+
+struct Document {
+  version @0 :Int64;
+  packed @1 :Data;
+}
+
+struct Directory {
+  complete @0 :Bool;
+  records @1 :List(ServerRecord);
+}
+
+struct Gateways {
+  names @0 :List(Text);
+  addresses @1 :List(Text);
+  controlAddresses @2 :List(Text);
+}
+
+struct GatewayState {
+  name @0 :Text;
+  incarnation @1 :Int64;
+  number @2 :Int64;
+  shares @3 :List(ServerShare);
+  spent @4 :List(Spent);
+}
+
 struct Challenge {
   version @0 :Int64;
   nonce @1 :Data;
@@ -367,6 +403,11 @@
   clusterId @0 :Text;
 }
 
+struct ReplaceDocument {
+  version @0 :Int64;
+  packed @1 :Data;
+}
+
 struct ConfigResult {
   applied @0 :Bool;
   version @1 :Int64;
@@ -398,6 +439,8 @@
   suspicions @7 :List(Suspicion);
   lastChange @8 :Text;
   viewIndex @9 :Int64;
+  documentVersion @10 :Int64;
+  document @11 :Data;
 }
 
 struct Identity {
@@ -485,6 +528,31 @@
   disk @1 :Text;
 }
 
+struct ServerRecord {
+  identity @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  phase @4 :Text;
+  bornMs @5 :Int64;
+  sequence @6 :Int64;
+  slots @7 :Int64;
+  coldMs @8 :Float64;
+  ageMs @9 :Int64;
+}
+
+struct ServerShare {
+  identity @0 :Text;
+  running @1 :Int64;
+  inputTokens @2 :Int64;
+  outputTokens @3 :Int64;
+}
+
+struct Spent {
+  workspace @0 :Text;
+  amount @1 :Float64;
+}
+
 struct Service {
   name @0 :Text;
   kind @1 :Text;
@@ -566,6 +634,12 @@
     replicaProbe @34 :ReplicaProbe;
     probeReply @35 :ProbeReply;
     follow @36 :Follow;
+    watch @37 :Watch;
+    current @38 :Current;
+    document @39 :Document;
+    directory @40 :Directory;
+    gateways @41 :Gateways;
+    gatewayState @42 :GatewayState;
   }
 }
 
@@ -592,6 +666,7 @@
     suspect @10 :Suspect;
     liftSuspicion @11 :LiftSuspicion;
     foundCluster @12 :FoundCluster;
+    replaceDocument @13 :ReplaceDocument;
   }
 }
 
--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -72,6 +72,7 @@
         self.reads = reads.Reads(self.replication)
         self.seen = {}
         self.leader_since_ms = clock.now_ms()
+        self.listeners = []
         self.batch = []
         self.sent_index = 0
         self.sent_stamp = 0
@@ -118,6 +119,7 @@
         """Take a message from a member or another control host."""
         if isinstance(message, replication.PEER_MESSAGES):
             self.replication.receive(link, message)
+            self.reads.answer_reads()
             return
         handler = HANDLERS.get(type(message))
         if handler is not None:
@@ -256,6 +258,8 @@
             )
         self.batch = []
         self.reads.answer_lookups()
+        for listener in self.listeners:
+            listener()
 
     def publish(self, message):
         """Send a message to every attached member, encoded once."""
--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -7,24 +7,30 @@
 
 import click
 from tornado import httpclient, httpserver
+from tornado import web as tornado_web
 
 import brasstrail
+import brasstrail.platform
 from brasstrail.core import clock, data, errors
+from brasstrail.protocol import dialects
 from brasstrail.roles import (
     admin,
     agent,
     attachment,
     control,
     entry,
+    gateway,
     hub,
     logs,
     metrics,
+    publisher,
     web,
 )
 from brasstrail.settings import settings
 
 DRAIN_POLL_S = 0.05
 MAX_ADMIN_BODY_BYTES = 8 * 1024 * 1024
+MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
 
 
 class Daemon:
@@ -34,10 +40,12 @@
     ----------
     loaded : `settings.Settings`.
     log : a structlog logger, or None to make one from the settings.
+    path : the file of the settings, which is read again on SIGHUP.
     """
 
-    def __init__(self, loaded, log=None):
+    def __init__(self, loaded, log=None, path=None):
         self.settings = loaded
+        self.path = path
         self.log = log or logs.make_logger(loaded)
         self.stack = contextlib.ExitStack()
         self.stopping = asyncio.Event()
@@ -47,10 +55,20 @@
         self.control = None
         self.entry = None
         self.agent = None
-        self.admin_server = None
+        self.gateway = None
+        self.publisher = None
 
-    def start(self):
+    async def start_all(self):
         """Start listening and all roles."""
+        self.start()
+        if "gateway" in self.settings.node.roles:
+            self.gateway = gateway.Gateway(self.hub, self.metrics)
+            self.gateway.register_gauges()
+            await self.gateway.start()
+            self.stack.callback(self.gateway.close)
+
+    def start(self):
+        """Start listening and all roles but the gateway."""
         roles = self.settings.node.roles
         self.hub.start()
         self.stack.callback(self.hub.close)
@@ -59,6 +77,8 @@
         if "entry" in roles or "agent" in roles:
             self.start_members(roles)
         self.stack.callback(self.hub.cancel_tasks)
+        if self.settings.metrics.port:
+            self.serve_metrics()
         self.log.info(
             "daemon: Started.",
             version=brasstrail.__version__,
@@ -71,6 +91,37 @@
         self.control = control.Control(self.hub)
         self.control.start()
         self.stack.callback(self.control.close)
+        if self.settings.control.document_address:
+            self.start_publisher()
+        if self.settings.control.admin_port:
+            self.start_admin()
+
+    def start_publisher(self):
+        """Serve gateways, operators of the document and announcements."""
+        options = self.settings.control
+        self.publisher = publisher.Publisher(self.hub, self.control)
+        self.publisher.start()
+        self.stack.callback(self.publisher.close)
+        dialect = dialects.find(options.dialect)
+        app = tornado_web.Application(
+            dialect.operator_routes(self.publisher), log_function=ignore_request
+        )
+        server = httpserver.HTTPServer(app, max_body_size=MAX_DOCUMENT_BYTES)
+        listen(server, options.document_address)
+        self.stack.callback(server.stop)
+
+    def serve_metrics(self):
+        """Serve the metrics as text."""
+        app = tornado_web.Application(
+            [(r"/metrics", MetricsHandler, {"recorded": self.metrics})],
+            log_function=ignore_request,
+        )
+        server = httpserver.HTTPServer(app)
+        server.listen(self.settings.metrics.port, self.settings.node.address)
+        self.stack.callback(server.stop)
+
+    def start_admin(self):
+        """Start the operators' API."""
         role = admin.Admin(self.hub, self.control, self.metrics)
         app = web.make_app(role, admin.ROUTES)
         server = httpserver.HTTPServer(app, max_body_size=MAX_ADMIN_BODY_BYTES)
@@ -109,16 +160,38 @@
 
     async def run(self):
         """Run until asked to stop, then finish what is under way."""
-        self.start()
+        await self.start_all()
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.stopping.wait()
         await self.shut_down()
 
+    def reload(self):
+        """Read the settings again and dial the control hosts they name.
+
+        Everything else that settings say is fixed for the life of a process.
+        """
+        if self.path is None:
+            return
+        try:
+            loaded = settings.load(self.path)
+        except errors.SettingsInvalid as error:
+            self.log.error("daemon: The settings are not taken.", reason=str(error))
+            return
+        seeds = loaded.cluster.peer_seeds
+        if self.gateway is not None:
+            self.gateway.subscription.dial(seeds)
+        if self.control is not None:
+            self.control.replication.dial_all(seeds)
+        self.log.info("daemon: The settings were read again.", seeds=",".join(seeds))
+
     async def shut_down(self):
         """Let every request end, then stop all roles."""
         self.log.info("daemon: Stopping; open requests are finished first.")
+        if self.gateway is not None:
+            await self.gateway.drain()
         if self.entry is not None:
             await self.entry.drain()
         if self.agent is not None:
@@ -140,10 +213,33 @@
     httpclient.AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
 
 
-async def run(loaded):
+def listen(server, address):
+    """Let a server listen at an address, IP:port."""
+    host, _, port = address.rpartition(":")
+    server.listen(int(port), host)
+
+
+class MetricsHandler(tornado_web.RequestHandler):
+    """Serves the metrics of the process."""
+
+    def initialize(self, recorded):
+        """Keep what is shown."""
+        self.recorded = recorded
+
+    def get(self):
+        """Send all metrics as text."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self.recorded.render())
+
+
+def ignore_request(handler):
+    """Leave the log to the handlers."""
+
+
+async def run(loaded, path):
     """Run a daemon with these settings."""
     configure_http()
-    await Daemon(loaded).run()
+    await Daemon(loaded, path=path).run()
 
 
 @click.command()
@@ -151,8 +247,9 @@
     "--settings",
     "path",
     required=True,
+    envvar="BRASSTRAIL_CONFIG",
     type=click.Path(dir_okay=False),
-    help="The TOML file with the settings.",
+    help="The TOML file with the settings; else what BRASSTRAIL_CONFIG names.",
 )
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 @click.version_option(brasstrail.__version__)
@@ -168,7 +265,7 @@
         click.echo(f"{path}: the settings are valid.")
         return
     try:
-        asyncio.run(run(loaded))
+        asyncio.run(run(loaded, path))
     except (errors.BrasstrailError, OSError) as error:
         click.echo(f"brasstraild: {error}", err=True)
         sys.exit(1)
--- a/brasstrail/roles/logs.py
+++ b/brasstrail/roles/logs.py
@@ -1,15 +1,83 @@
-"""The log: structured, as lines for people or as JSON for machines."""
+"""The log: structured, as lines for people or as JSON for machines.
+
+Writing never blocks and is bounded: lines beyond the rate, and lines that the
+reader of the output does not take in time, are left out and counted in a line of
+their own.
+"""
 
 import logging
+import os
 import sys
 
 import structlog
 
+from brasstrail.core import clock
+
 LEVELS = logging.getLevelNamesMapping()
+STREAMS = {"stderr": sys.stderr, "stdout": sys.stdout}
+# Lines that may come at once, in seconds of the steady rate.
+BURST_S = 3.0
+MS_PER_SECOND = 1000
+
+
+class BoundedOutput:
+    """Writes lines to a file descriptor, within a rate and without waiting.
+
+    Parameters
+    ----------
+    descriptor : the file descriptor.
+    lines_a_second : the steady rate.
+
+    Attributes
+    ----------
+    left_out : how many lines were left out since the last line that says so.
+    """
+
+    def __init__(self, descriptor, lines_a_second):
+        self.descriptor = descriptor
+        self.rate = lines_a_second
+        self.burst = lines_a_second * BURST_S
+        self.room = self.burst
+        self.filled_ms = clock.now_ms()
+        self.left_out = 0
+
+    def msg(self, line):
+        """Write a line, or count it as left out."""
+        if not self.take_room():
+            self.left_out += 1
+            return
+        if self.left_out:
+            self.write(f"log: Lines were left out. count={self.left_out}\n")
+            self.left_out = 0
+        self.write(line + "\n")
+
+    log = debug = info = warning = error = critical = msg
+
+    def take_room(self):
+        """Take the room of a line; return whether there was some."""
+        now_ms = clock.now_ms()
+        gained = (now_ms - self.filled_ms) / MS_PER_SECOND * self.rate
+        self.filled_ms = now_ms
+        self.room = min(self.burst, self.room + gained)
+        if self.room < 1:
+            return False
+        self.room -= 1
+        return True
+
+    def write(self, text):
+        """Write text; what the reader does not take now is left out."""
+        try:
+            os.write(self.descriptor, text.encode())
+        except BlockingIOError:
+            self.left_out += 1
 
 
 def make_logger(settings):
     """Return the logger of a process, with its name on every line."""
+    descriptor = STREAMS[settings.log.output].fileno()
+    if not os.isatty(descriptor):
+        os.set_blocking(descriptor, False)
+    output = BoundedOutput(descriptor, settings.log.lines_a_second)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -19,7 +87,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             LEVELS[settings.log.level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=lambda *arguments: output,
     )
     return structlog.get_logger().bind(node=settings.node.name)
 
--- /dev/null
+++ b/brasstrail/roles/publisher.py
@@ -0,0 +1,467 @@
+"""Serves gateways: the operators' document, the known servers, the lease.
+
+A gateway follows one control host. Its beats are confirmed once the leader has
+shown, in a round that began after the beat arrived, that a quorum knows of no
+newer document, and that document has been sent to the gateway. A control host
+that is cut off from the quorum confirms nothing, and its gateways move on.
+
+Control hosts tell one another what backend servers announce to them and which
+gateways follow them. Neither is replicated in the log: both are heard again
+within seconds after all is lost.
+"""
+
+import asyncio
+import dataclasses
+
+from tornado import ioloop
+
+from brasstrail.coordination import directory
+from brasstrail.core import clock, errors, servers
+from brasstrail.protocol import codec, commands, messages
+from brasstrail.state import documents
+
+TICK_MS = 100
+CONFIRM_INTERVAL_MS = 400
+# An announcement is acknowledged only by a host that the quorum answered lately,
+# since a host that is cut off could not pass it on.
+CONFIRMED_FOR_MS = 1500
+SHARE_INTERVAL_MS = 1000
+FOLLOWER_TIMEOUT_MS = 3000
+APPLY_TIMEOUT_S = 1.0
+APPLY_POLL_S = 0.005
+COMMIT_TIMEOUT_S = 1.5
+
+
+@dataclasses.dataclass
+class Follower:
+    """A gateway that follows this host, or another one (`link` is None then)."""
+
+    name: str
+    address: str
+    heard_ms: int
+    link: object = None
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Beat:
+    """A beat that waits to be confirmed."""
+
+    follower: Follower
+    number: int
+
+
+class Publisher:
+    """The part of the control role that serves gateways and announcements.
+
+    Parameters
+    ----------
+    hub : `hub.Hub` of the process.
+    control : `control.Control` of the process.
+    """
+
+    def __init__(self, hub, control):
+        self.hub = hub
+        self.log = hub.log
+        self.control = control
+        self.directory = directory.Directory(hub.settings.control.announce_interval_ms)
+        self.silent = set()
+        self.followers = {}
+        self.remote = {}
+        self.beats = []
+        self.confirmed_ms = None
+        self.started_ms = clock.now_ms()
+        self.next_confirm_ms = 0
+        self.next_share_ms = 0
+        self.confirming = False
+        self.shared_ms = 0
+        self.gateways = None
+        self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
+        hub.handlers.append(self)
+        control.listeners.append(self.document_applied)
+
+    def start(self):
+        """Begin to serve."""
+        self.ticker.start()
+
+    def close(self):
+        """Stop serving."""
+        self.ticker.stop()
+
+    @property
+    def document(self):
+        """The document as far as it is applied here."""
+        return self.control.machine.document
+
+    @property
+    def is_confirmed(self):
+        """Whether a quorum has answered lately."""
+        if self.confirmed_ms is None:
+            return False
+        return clock.now_ms() - self.confirmed_ms <= CONFIRMED_FOR_MS
+
+    @property
+    def is_complete(self):
+        """Whether every server that is alive has been heard since the start."""
+        listened_ms = clock.now_ms() - self.started_ms
+        return listened_ms > directory.SILENT_BEATS * self.directory.interval_ms
+
+    # Links.
+
+    def link_up(self, link):
+        """Show another control host what is known here."""
+        if link.name in self.control.replication.peers and self.directory.known:
+            link.send(self.whole_directory())
+
+    def link_reset(self, link):
+        """Forget a gateway that lost its session; it will follow again."""
+        for name, follower in list(self.followers.items()):
+            if follower.link is link:
+                del self.followers[name]
+
+    def link_message(self, link, message):
+        """Take a message of a gateway or another control host."""
+        handler = HANDLERS.get(type(message))
+        if handler is not None:
+            handler(self, link, message)
+
+    def take_watch(self, link, watch):
+        """Take a gateway's beat."""
+        now_ms = clock.now_ms()
+        follower = self.followers.get(link.name)
+        if follower is None or follower.link is not link:
+            follower = Follower(link.name, watch.address, now_ms, link)
+            self.followers[link.name] = follower
+            self.log.info("publisher: A gateway follows.", peer=link.name)
+            self.publish_gateways()
+        follower.heard_ms = now_ms
+        follower.version = watch.document_version
+        if watch.needs_directory:
+            link.send(self.whole_directory())
+            link.send(self.gateways)
+        self.beats.append(Beat(follower, watch.beat_id))
+
+    # Confirmation.
+
+    def tick(self):
+        """Do what is due."""
+        now_ms = clock.now_ms()
+        if now_ms >= self.next_confirm_ms or self.beats:
+            self.start_confirming(now_ms)
+        if now_ms >= self.next_share_ms:
+            self.next_share_ms = now_ms + SHARE_INTERVAL_MS
+            self.share(now_ms)
+            self.drop_lost(now_ms)
+        self.note_silence(now_ms)
+
+    def start_confirming(self, now_ms):
+        """Ask the quorum, unless that is under way."""
+        if self.confirming:
+            return
+        self.confirming = True
+        self.next_confirm_ms = now_ms + CONFIRM_INTERVAL_MS
+        self.hub.spawn(self.confirm())
+
+    async def confirm(self):
+        """Confirm the beats that have arrived so far."""
+        try:
+            beats, self.beats = self.beats, []
+            asked_ms = clock.now_ms()
+            if await self.reach_quorum():
+                self.confirmed_ms = asked_ms
+                for beat in beats:
+                    self.answer(beat)
+        finally:
+            self.confirming = False
+
+    async def reach_quorum(self):
+        """Return whether all that was committed is now applied here."""
+        reply = await self.control.read()
+        if reply is None or not reply.index:
+            return False
+        deadline_ms = clock.now_ms() + APPLY_TIMEOUT_S * 1000
+        while self.control.machine.index < reply.index:
+            if clock.now_ms() > deadline_ms:
+                return False
+            await asyncio.sleep(APPLY_POLL_S)
+        return True
+
+    def answer(self, beat):
+        """Send a gateway what it lacks, and confirm its beat."""
+        link = beat.follower.link
+        if not link.connected:
+            return
+        self.send_document(beat.follower)
+        link.send(messages.Current(beat.number, self.document.version))
+
+    def send_document(self, follower):
+        """Send a gateway the document if it holds an older one."""
+        if follower.version >= self.document.version:
+            return
+        follower.version = self.document.version
+        follower.link.send(
+            messages.Document(self.document.version, self.document.packed)
+        )
+
+    def document_applied(self):
+        """Send a new document to the gateways at once."""
+        for follower in self.followers.values():
+            if follower.link.connected:
+                self.send_document(follower)
+
+    # The operators' document.
+
+    async def replace_document(self, version, body):
+        """Make a document durable; raise `errors.NoQuorum` where that fails.
+
+        On return the document, or one with a higher version, is committed.
+        """
+        command = commands.ReplaceDocument(version, documents.pack(body))
+        outcome = self.hub.loop.create_future()
+
+        def answer(result):
+            if not outcome.done():
+                outcome.set_result(result)
+
+        self.control.submit(codec.encode(codec.COMMAND, command), answer)
+        try:
+            result = await asyncio.wait_for(outcome, COMMIT_TIMEOUT_S)
+        except asyncio.TimeoutError:
+            result = messages.Outcome("", False, b"")
+        self.log.info(
+            "publisher: A document was proposed.",
+            version=version,
+            bytes=len(body),
+            committed=result.committed,
+            held=self.document.version,
+        )
+        if not result.committed:
+            raise errors.NoQuorum(
+                "The document was not committed in time; it may still be.",
+                "Send it again, to any control host.",
+            )
+
+    async def read_document(self):
+        """Return the newest document's body, or None where there is none.
+
+        Raises `errors.NoQuorum` where it is not certain which is the newest.
+        """
+        if not await self.reach_quorum():
+            raise errors.NoQuorum(
+                "It is not certain which document is the newest.",
+                "Ask again, or ask another control host.",
+            )
+        if not self.document.version:
+            return None
+        return documents.unpack(self.document.packed)
+
+    # Backend servers.
+
+    def announce(self, announcement):
+        """Take a server's announcement and pass on what is new in it.
+
+        Raises `errors.NoQuorum` where this host could not pass it on.
+        """
+        if not self.is_confirmed:
+            raise errors.NoQuorum(
+                "This control host does not reach the quorum.",
+                "Announce to another control host.",
+            )
+        self.learn(announcement, clock.now_ms(), to_peers=True)
+
+    def withdraw(self, identity, born_ms):
+        """Take a server's last word.
+
+        `born_ms` is the start that it speaks of, or None where it does not say.
+        """
+        if not self.is_confirmed:
+            raise errors.NoQuorum(
+                "This control host does not reach the quorum.",
+                "Announce to another control host.",
+            )
+        held = self.directory.known.get(identity)
+        if held is None:
+            return
+        if born_ms is not None and held.announcement.born_ms > born_ms:
+            return
+        ended = self.directory.end(identity)
+        self.log_server(ended, 0)
+        self.pass_on(ended, 0, to_peers=True)
+
+    def learn(self, announcement, heard_ms, to_peers):
+        """Take what was heard; pass on what is new."""
+        changed = self.directory.take(announcement, heard_ms)
+        if announcement.identity in self.silent and self.is_heard(announcement):
+            self.silent.discard(announcement.identity)
+            changed = True
+        if changed:
+            age_ms = clock.now_ms() - heard_ms
+            self.log_server(announcement, age_ms)
+            self.pass_on(announcement, age_ms, to_peers)
+
+    def is_heard(self, announcement):
+        """Return whether a server is not silent any more."""
+        known = self.directory.known.get(announcement.identity)
+        return known is not None and not self.directory.is_silent(known, clock.now_ms())
+
+    def log_server(self, announcement, age_ms):
+        """Log a change of what is believed of a server."""
+        self.log.info(
+            "publisher: A server changed.",
+            server=announcement.identity,
+            service=announcement.service,
+            address=announcement.address,
+            phase=str(announcement.phase),
+            born=announcement.born_ms,
+            sequence=announcement.sequence,
+            age_ms=age_ms,
+        )
+
+    def pass_on(self, announcement, age_ms, to_peers):
+        """Send what changed to the gateways, and to the other control hosts."""
+        record = to_record(announcement, age_ms)
+        update = messages.Directory(False, (record,))
+        self.send_followers(update)
+        if to_peers:
+            self.send_peers(update)
+
+    def send_followers(self, message):
+        """Send a message to the gateways that follow this host."""
+        for follower in self.followers.values():
+            if follower.link.connected:
+                follower.link.send(message)
+
+    def send_peers(self, message):
+        """Send a message to the other control hosts."""
+        for link in self.control.replication.peers.values():
+            if link.connected:
+                link.send(message)
+
+    def take_directory(self, link, update):
+        """Take what another control host has heard."""
+        now_ms = clock.now_ms()
+        for record in update.records:
+            self.learn(to_announcement(record), now_ms - record.age_ms, False)
+
+    def whole_directory(self):
+        """Return all that is known, as a message."""
+        now_ms = clock.now_ms()
+        records = []
+        for identity, known in self.directory.known.items():
+            record = to_record(known.announcement, now_ms - known.heard_ms)
+            if identity in self.silent and record.phase == servers.ServerPhase.READY:
+                record = dataclasses.replace(record, phase=servers.ServerPhase.SILENT)
+            records.append(record)
+        return messages.Directory(self.is_complete, tuple(records))
+
+    def note_silence(self, now_ms):
+        """Tell the gateways of servers that have fallen silent."""
+        for identity, known in self.directory.known.items():
+            if identity in self.silent or known.phase is servers.ServerPhase.GONE:
+                continue
+            if self.directory.is_silent(known, now_ms):
+                self.silent.add(identity)
+                quiet = dataclasses.replace(
+                    known.announcement, phase=servers.ServerPhase.SILENT
+                )
+                self.log_server(quiet, now_ms - known.heard_ms)
+                self.pass_on(quiet, now_ms - known.heard_ms, to_peers=False)
+
+    # What control hosts tell one another.
+
+    def share(self, now_ms):
+        """Tell the other control hosts who was heard here lately."""
+        heard = [
+            to_record(known.announcement, now_ms - known.heard_ms)
+            for known in self.directory.known.values()
+            if known.heard_ms > self.shared_ms
+        ]
+        self.shared_ms = now_ms
+        if heard:
+            self.send_peers(messages.Directory(False, tuple(heard)))
+        own = self.followers.values()
+        self.send_peers(
+            messages.Gateways(
+                tuple(item.name for item in own),
+                tuple(item.address for item in own),
+                (),
+            )
+        )
+        self.directory.forget(now_ms)
+        self.silent &= set(self.directory.known)
+
+    def take_gateways(self, link, update):
+        """Note which gateways follow another control host."""
+        now_ms = clock.now_ms()
+        for name, address in zip(update.names, update.addresses, strict=True):
+            self.remote[name] = Follower(name, address, now_ms)
+        self.publish_gateways()
+
+    def drop_lost(self, now_ms):
+        """Forget gateways that no control host hears."""
+        for table in (self.followers, self.remote):
+            for name, follower in list(table.items()):
+                if now_ms - follower.heard_ms > FOLLOWER_TIMEOUT_MS:
+                    del table[name]
+        self.publish_gateways()
+
+    def publish_gateways(self):
+        """Tell the gateways of one another when that has changed."""
+        merged = {**self.remote, **self.followers}
+        names = tuple(sorted(merged))
+        addresses = tuple(merged[name].address for name in names)
+        update = messages.Gateways(names, addresses, self.control_addresses())
+        if update != self.gateways:
+            self.gateways = update
+            self.send_followers(update)
+
+    def control_addresses(self):
+        """Return the addresses of the control hosts, where names are addresses."""
+        node = self.control.replication.replica.raft
+        if node is None:
+            return ()
+        hosts = {identity.rsplit("/", 1)[0] for identity in node.voters()}
+        return tuple(sorted(host for host in hosts if ":" in host))
+
+
+def to_record(announcement, age_ms):
+    """Return an announcement in the form in which it travels."""
+    return messages.ServerRecord(
+        announcement.identity,
+        announcement.service,
+        announcement.address,
+        announcement.data_centre,
+        str(announcement.phase),
+        announcement.born_ms,
+        announcement.sequence,
+        announcement.slots,
+        announcement.cold_ms,
+        age_ms,
+    )
+
+
+def to_announcement(record):
+    """Return the announcement that a record holds."""
+    return servers.Announcement(
+        record.identity,
+        record.service,
+        record.address,
+        record.data_centre,
+        servers.ServerPhase(record.phase),
+        record.born_ms,
+        record.sequence,
+        record.slots,
+        record.cold_ms,
+    )
+
+
+HANDLERS = {
+    messages.Watch: Publisher.take_watch,
+    messages.Directory: Publisher.take_directory,
+    messages.Gateways: Publisher.take_gateways,
+}
+
+
+def as_ready(announcement):
+    """Return the announcement of a silent server as of one that is ready."""
+    return dataclasses.replace(announcement, phase=servers.ServerPhase.READY)
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import random
 import secrets
+import threading
 
 from tornado import ioloop
 
@@ -13,6 +14,8 @@
 from brasstrail.state import journal, machine
 
 TICK_MS = 50
+# A full disk is tried again often enough that service returns with its room.
+DISK_RETRY_S = 0.5
 PEER_MESSAGES = (
     messages.VoteAsk,
     messages.VoteReply,
@@ -49,11 +52,13 @@
         self.machine.restore(b"")
         self.journal = journal.Journal(self.settings.data_folder)
         self.disk = concurrent.futures.ThreadPoolExecutor(1, "disk")
+        self.stopped = threading.Event()
         self.wake = asyncio.Event()
         self.peers = {}
         self.failed = None
         self.replica = None
         self.was_leader = False
+        self.dialed_index = -1
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
 
     # Start and stop.
@@ -61,13 +66,33 @@
     def start(self):
         """Read the data folder and begin."""
         self.load()
-        own = self.hub.settings.node.dialed_address
-        for seed in self.hub.settings.cluster.seeds:
-            if seed != own:
-                self.hub.dial(seed, self)
+        self.dial_all(self.hub.settings.cluster.peer_seeds)
         self.ticker.start()
         self.hub.spawn(self.drive())
 
+    def dial_all(self, seeds):
+        """Keep links to the control hosts at these addresses."""
+        for seed in seeds:
+            self.dial(seed)
+        known = (*self.replica.known, *seeds)
+        self.replica.known = tuple(dict.fromkeys(known))
+
+    def dial(self, address):
+        """Keep a link to another control host."""
+        if address not in (self.hub.name, self.hub.settings.node.dialed_address):
+            self.hub.dial(address, self)
+
+    def dial_members(self):
+        """Keep links to the replicas whose names are their addresses."""
+        node = self.replica.raft
+        if node is None or node.log.config_index == self.dialed_index:
+            return
+        self.dialed_index = node.log.config_index
+        for identity in sorted(node.members()):
+            host = raft.host_of(identity)
+            if ":" in host:
+                self.dial(host)
+
     def load(self):
         """Make the replica from what the disk holds."""
         identity, loaded = self.read_folder()
@@ -76,8 +101,12 @@
         )
         if loaded.torn_bytes:
             self.log.warning("log: A torn write was cut off.", bytes=loaded.torn_bytes)
-        hosts = self.settings.initial_replicas or (self.hub.name,)
-        self.replica = replica.Replica(hosts, stored, random.Random(), clock.now_ms())
+        self.replica = replica.Replica(
+            self.founders(), stored, random.Random(), clock.now_ms()
+        )
+        own = self.hub.settings.cluster
+        self.replica.known = own.peer_seeds if own.seed_port else ()
+        self.replica.wanted_voters = self.settings.replicas
         self.machine.restore(loaded.snapshot.state if loaded.snapshot else b"")
         self.log.info(
             "log: The replica starts.",
@@ -86,6 +115,14 @@
             records=len(loaded.entries),
         )
 
+    def founders(self):
+        """Return the names of the hosts that found the cluster."""
+        if self.settings.seeds_found:
+            return self.hub.settings.cluster.peer_seeds
+        if self.hub.settings.cluster.peer_seeds and not self.settings.initial_replicas:
+            return ()
+        return self.settings.initial_replicas or (self.hub.name,)
+
     def read_folder(self):
         """Return the identity and the content of the data folder.
 
@@ -98,7 +135,7 @@
                 identity = self.make_identity()
             return identity, self.journal.load()
         except errors.CorruptFile as error:
-            if len(self.settings.initial_replicas) < 2:
+            if len(self.founders()) == 1:
                 raise
             self.log.error("log: The data folder is damaged.", reason=str(error))
             self.journal.move_aside(clock.wall_ms())
@@ -113,14 +150,19 @@
     def close(self):
         """Stop the replica and close its files."""
         self.ticker.stop()
+        self.stopped.set()
         self.disk.shutdown(wait=True)
         self.journal.close()
 
     # Peers.
 
     def link_up(self, link):
-        """Remember the way to another control host."""
-        if link.address:
+        """Remember the way to another control host.
+
+        A link that this host dialed goes before one that the other dialed.
+        """
+        known = self.peers.get(link.name)
+        if link.address or known is None or not known.connected:
             self.peers[link.name] = link
 
     def receive(self, link, message):
@@ -145,6 +187,7 @@
         """Let the replica note the time."""
         if self.failed is None:
             self.replica.tick(clock.now_ms())
+            self.dial_members()
             self.wake.set()
 
     async def drive(self):
@@ -187,7 +230,26 @@
         self.note_leadership()
 
     def persist(self, work):
-        """Write what must be durable; runs on the disk's thread."""
+        """Write what must be durable; runs on the disk's thread.
+
+        Where the disk refuses, the work is done again in a new segment until the
+        disk takes it or the process stops.
+        """
+        segment = None
+        while True:
+            try:
+                if segment is not None:
+                    self.journal.open_segment(segment)
+                self.persist_once(work)
+                return
+            except errors.DiskFailed as error:
+                if self.stopped.wait(DISK_RETRY_S):
+                    raise
+                segment = self.journal.segment_number + 1
+                self.log.error("log: The disk refuses a write.", reason=str(error))
+
+    def persist_once(self, work):
+        """Write what must be durable."""
         if work.identity is not None:
             self.journal.write_identity(work.identity)
         if work.ready is not None:
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -15,12 +15,17 @@
 
 from brasstrail.core import errors
 
-ROLES = ("entry", "agent", "control")
+ROLES = ("entry", "agent", "control", "gateway")
 SCOPES = ("caller", "operator")
 FORMATS = ("lines", "json")
+OUTPUTS = ("stderr", "stdout")
 LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_LETTERS = 16
 MAX_PORT = 65535
+MAY_BE_ZERO = ("replicas", "admin_port")
+# The part of the time within which a removed key must be dead; the rest covers
+# requests that were let in just before.
+LEASE_PART = 0.9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,7 +34,7 @@
 
     `address` is the IP number on which it listens. `peer_port` serves the
     other processes of the cluster, which dial `peer_address` (IP:port) where
-    that is not empty.
+    that is not empty. `regions` names the region of each data centre.
     """
 
     name: str
@@ -39,6 +44,7 @@
     address: str = "127.0.0.1"
     peer_port: int = 7000
     peer_address: str = ""
+    regions: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def dialed_address(self):
@@ -51,12 +57,23 @@
     """The cluster to which the process belongs.
 
     `seeds` are the peer addresses of control hosts. `secret` is known to every
-    process of the cluster and to nobody else.
+    process of the cluster and to nobody else. Where `seed_port` is not 0, seeds
+    name control hosts by another of their ports, and peers are reached at this one.
     """
 
     name: str
     secret: str
     seeds: tuple[str, ...] = ()
+    seed_port: int = 0
+
+    @property
+    def peer_seeds(self):
+        """The peer addresses of the seeds."""
+        if not self.seed_port:
+            return self.seeds
+        return tuple(
+            f"{seed.rpartition(':')[0]}:{self.seed_port}" for seed in self.seeds
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,7 +119,12 @@
     """The control role: its data folder, its operators' port, its bounds.
 
     `initial_replicas` names the control hosts that form the cluster's first
-    quorum; it is read only while all of them are blank.
+    quorum; it is read only while all of them are blank. An `admin_port` of 0 serves
+    operators nowhere. With `seeds_found` the
+    seeds are these hosts; control hosts are then named by their peer addresses.
+    `replicas` is how many replicas vote; 0 means as many as at first. Where
+    `document_address` (IP:port) is not empty, it serves operators of the whole document and the
+    announcements of backend servers, in the words of `dialect`.
     """
 
     data_folder: str = "var/control"
@@ -113,6 +135,46 @@
     answer_retention_s: int = 7 * 24 * 3600
     max_keys: int = 1_000_000
     suspicion_s: int = 3600
+    seeds_found: bool = False
+    replicas: int = 0
+    document_address: str = ""
+    dialect: str = "fleet"
+    announce_interval_ms: int = 1200
+
+
+@dataclasses.dataclass(frozen=True)
+class GatewayRole:
+    """The gateway role: callers who speak plain HTTP, routed by the catalog.
+
+    `http_address` and `ready_address` (IP:port) are where callers connect and where
+    the platform asks whether they should. A removed key must be dead after
+    `revoke_ms` where `fails_closed`. A stopped process has `grace_s` seconds. Second
+    sendings to a service stay below `retry_ratio` of its requests and `retry_slack`
+    in any `retry_window_s` seconds, over all gateways.
+    """
+
+    http_address: str = "127.0.0.1:8090"
+    ready_address: str = "127.0.0.1:8091"
+    dialect: str = "fleet"
+    fails_closed: bool = True
+    revoke_ms: int = 5000
+    grace_s: float = 30.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 60.0
+    retry_window_s: float = 10.0
+    max_held_bytes: int = 32 * 1024 * 1024
+
+    @property
+    def lease_ms(self):
+        """How long the lease lasts: a removed key is dead a little early."""
+        return LEASE_PART * self.revoke_ms
+
+
+@dataclasses.dataclass(frozen=True)
+class MetricsPage:
+    """Where metrics are served as text; port 0 serves them nowhere."""
+
+    port: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,10 +199,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Log:
-    """The form and the level of the log."""
+    """The form and the level of the log.
+
+    `output` is stderr or stdout. At most `lines_a_second` are written; what lies
+    beyond is counted in a line of its own.
+    """
 
     format: str = "lines"
     level: str = "info"
+    output: str = "stderr"
+    lines_a_second: int = 200
 
 
 @dataclasses.dataclass(frozen=True)
@@ -165,6 +233,8 @@
     entry: EntryRole = EntryRole()
     agent: AgentRole = AgentRole()
     control: ControlRole = ControlRole()
+    gateway: GatewayRole = GatewayRole()
+    metrics: MetricsPage = MetricsPage()
     auth: Auth = Auth()
     log: Log = Log()
     shaping: Shaping = Shaping()
@@ -253,6 +323,8 @@
     """Yield the problems of keys that take one of a few words."""
     if loaded.log.format not in FORMATS:
         yield f"log.format must be one of {', '.join(FORMATS)}"
+    if loaded.log.output not in OUTPUTS:
+        yield f"log.output must be one of {', '.join(OUTPUTS)}"
     if loaded.log.level not in LEVELS:
         yield f"log.level must be one of {', '.join(LEVELS)}"
     if len(loaded.cluster.secret) < MIN_SECRET_LETTERS:
@@ -283,16 +355,29 @@
         yield "entry.http_port", loaded.entry.http_port
     if "agent" in loaded.node.roles:
         yield "agent.announce_port", loaded.agent.announce_port
-    if "control" in loaded.node.roles:
+    if "control" in loaded.node.roles and loaded.control.admin_port:
         yield "control.admin_port", loaded.control.admin_port
+    if "gateway" in loaded.node.roles:
+        yield "gateway.http_address", port_of(loaded.gateway.http_address)
+        yield "gateway.ready_address", port_of(loaded.gateway.ready_address)
+    if "control" in loaded.node.roles and loaded.control.document_address:
+        yield "control.document_address", port_of(loaded.control.document_address)
+
+
+def port_of(address):
+    """Return the port in an address, or 0 where there is none."""
+    _, _, port = address.rpartition(":")
+    return int(port) if port.isdigit() else 0
 
 
 def check_numbers(loaded):
     """Yield the sizes and times that must be positive and are not."""
-    for table in ("entry", "agent", "control"):
+    for table in ("entry", "agent", "control", "gateway"):
         record = getattr(loaded, table)
         for field in dataclasses.fields(record):
             value = getattr(record, field.name)
+            if field.name in MAY_BE_ZERO:
+                continue
             if field.type is int and value <= 0:
                 yield f"{table}.{field.name} is {value}; give a positive number"
 
@@ -304,7 +389,9 @@
             yield f"auth token {token.name!r}: scope must be caller or operator"
         if len(token.sha256) != 64:
             yield f"auth token {token.name!r}: sha256 must be 64 hex digits"
-    serves = {"entry", "control"} & set(loaded.node.roles)
+    serves = "entry" in loaded.node.roles
+    if "control" in loaded.node.roles and loaded.control.admin_port:
+        serves = True
     if serves and not loaded.auth.tokens and not is_loopback(loaded.node.address):
         yield "auth.tokens is empty on a public address; add hashed tokens"
 
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -5,11 +5,19 @@
 Each record and each file carries a checksum. A record replaces earlier ones of
 the same and of later indexes, so a log that was cut back needs no marker.
 
-Damage is told apart when the folder is read. Bytes that end in the middle of
-the last segment's last record are a torn write, and are cut off: they were
-never synced, or else the other replicas know that this one acknowledged more,
-and it comes back as a new replica. A checksum that fails anywhere else raises
-`errors.CorruptFile`.
+What is written between two syncs is one frame with one checksum. After a loss of
+power each part of an unsynced write may be kept, lost or torn by itself, so that
+the end of a batch can be whole where its beginning is not; a frame is taken
+whole or not at all.
+
+Damage is told apart when the folder is read. A frame at the end of a segment that
+is not whole is a torn write, and is cut off: it was never synced, or else the
+other replicas know that this one acknowledged more, and it comes back as a new
+replica. A checksum that fails before a whole frame, or a record that is missing
+between others, raises `errors.CorruptFile`.
+
+A batch that the disk refuses is written again, to a new segment, until it takes
+it. Meanwhile the replica is as silent as one with a slow disk.
 """
 
 import contextlib
@@ -24,6 +32,7 @@
 from brasstrail.state import files
 
 RECORD = struct.Struct("!II")
+LENGTH = struct.Struct("!I")
 SEGMENT_BYTES = 8 * 1024 * 1024
 MAX_RECORD_BYTES = 64 * 1024 * 1024
 KEPT_SNAPSHOTS = 2
@@ -39,6 +48,27 @@
     torn_bytes: int
 
 
+def join_items(payloads):
+    """Return several payloads as one.
+
+    >>> split_items(join_items([b"a", b"bc"]))
+    [b'a', b'bc']
+    """
+    return b"".join(LENGTH.pack(len(payload)) + payload for payload in payloads)
+
+
+def split_items(joined):
+    """Return the payloads that were joined."""
+    payloads = []
+    offset = 0
+    while offset < len(joined):
+        (length,) = LENGTH.unpack_from(joined, offset)
+        start = offset + LENGTH.size
+        payloads.append(joined[start : start + length])
+        offset = start + length
+    return payloads
+
+
 def frame(payload):
     """Return a payload with its length and checksum before it."""
     return RECORD.pack(len(payload), zlib.crc32(payload)) + payload
@@ -53,20 +83,17 @@
     )
 
 
-def read_records(path, chunk, last):
-    """Return the payloads in a segment, and the bytes torn off its end.
-
-    `last` says whether this is the last segment, where a torn write may be.
-    """
+def read_records(path, chunk):
+    """Return the payloads in a segment, and the bytes torn off its end."""
     payloads = []
     offset = 0
     while offset < len(chunk):
         payload = record_at(chunk, offset)
         if payload is None:
-            if last and is_torn(chunk, offset):
+            if is_torn(chunk, offset):
                 return payloads, len(chunk) - offset
             raise corrupt(path, offset)
-        payloads.append(payload)
+        payloads.extend(split_items(payload))
         offset += RECORD.size + len(payload)
     return payloads, 0
 
@@ -78,7 +105,7 @@
         return None
     length, checksum = RECORD.unpack_from(chunk, offset)
     payload = chunk[start : start + length]
-    if len(payload) != length or zlib.crc32(payload) != checksum:
+    if not length or len(payload) != length or zlib.crc32(payload) != checksum:
         return None
     return payload
 
@@ -181,9 +208,10 @@
         torn_bytes = 0
         paths = self.segment_paths()
         for number, path in paths:
-            last = number == paths[-1][0]
-            torn_bytes = self.load_segment(number, path, last, entries)
+            torn_bytes = self.load_segment(number, path, entries)
         joined = join_entries(entries, snapshot)
+        if joined is None:
+            raise corrupt(self.folder, 0)
         self.open_segment(paths[-1][0] + 1 if paths else 1)
         return Loaded(self.hard_state, snapshot, joined, torn_bytes)
 
@@ -192,10 +220,10 @@
         paths = self.snapshot_paths()
         return self.read_file(paths[-1][1]) if paths else None
 
-    def load_segment(self, number, path, last, entries):
+    def load_segment(self, number, path, entries):
         """Read a segment into `entries`; return the bytes torn off its end."""
         chunk = path.read_bytes()
-        payloads, torn_bytes = read_records(path, chunk, last)
+        payloads, torn_bytes = read_records(path, chunk)
         if torn_bytes:
             with files.typed(path), open(path, "r+b") as file:
                 file.truncate(len(chunk) - torn_bytes)
@@ -247,9 +275,8 @@
 
     def write_batch(self, records):
         """Write records to the segment in one piece."""
-        chunk = b"".join(
-            frame(codec.encode(codec.JOURNAL, record)) for record in records
-        )
+        payloads = [codec.encode(codec.JOURNAL, record) for record in records]
+        chunk = frame(join_items(payloads))
         self.disk.append(self.segment, chunk)
         self.segment_bytes += len(chunk)
 
@@ -315,7 +342,7 @@
 def join_entries(entries, snapshot):
     """Return the unbroken run of records that follows a snapshot.
 
-    Where the record at the snapshot's index is of another term, the records
+    None means that a record is missing between others. Where the record at the snapshot's index is of another term, the records
     after it were replaced by the snapshot and count no more.
     """
     index = snapshot.index if snapshot else 0
@@ -326,4 +353,6 @@
     while index + 1 in entries:
         index += 1
         joined.append(entries[index])
+    if any(later > index for later in entries):
+        return None
     return tuple(joined)
--- a/brasstrail/state/machine.py
+++ b/brasstrail/state/machine.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from brasstrail.protocol import codec, commands, snapshots
-from brasstrail.state import ledger, view
+from brasstrail.state import documents, ledger, view
 
 
 @dataclasses.dataclass(frozen=True)
@@ -29,6 +29,7 @@
     Attributes
     ----------
     index : the index of the last record that was applied.
+    document : the operators' document, as `documents.Holder`.
     """
 
     def __init__(self):
@@ -36,6 +37,7 @@
         self.time_ms = 0
         self.view = view.View()
         self.ledger = ledger.Ledger()
+        self.document = documents.Holder()
 
     def apply(self, entry):
         """Apply a record of the log and return what came of it."""
@@ -61,6 +63,8 @@
         """Return the result of a command."""
         if self.view.handles(command):
             return self.view.apply(command)
+        if isinstance(command, commands.ReplaceDocument):
+            return self.document.replace(command)
         if type(command) in ledger.HANDLERS:
             return self.ledger.apply(command)
         return commands.Plain(True)
@@ -78,6 +82,8 @@
             tuple(self.view.suspicions.values()),
             self.view.last_change,
             self.view.index,
+            self.document.version,
+            self.document.packed,
         )
         return codec.encode(codec.SNAPSHOT, state)
 
@@ -98,3 +104,4 @@
         for item in state.changes:
             self.view.changes[item.change_id] = item.result
         self.ledger = ledger.Ledger(state.executions)
+        self.document = documents.Holder(state.document_version, state.document)
