--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -123,8 +123,8 @@
     operators nowhere. With `seeds_found` the
     seeds are these hosts; control hosts are then named by their peer addresses.
     `replicas` is how many replicas vote; 0 means as many as at first. Where
-    `document_address` (IP:port) is not empty, it serves operators of the whole document and the
-    announcements of backend servers, in the words of `dialect`.
+    `document_address` (IP:port) is not empty, it serves operators of the whole
+    document and the announcements of backend servers, in the words of `dialect`.
     """
 
     data_folder: str = "var/control"
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -342,8 +342,9 @@
 def join_entries(entries, snapshot):
     """Return the unbroken run of records that follows a snapshot.
 
-    None means that a record is missing between others. Where the record at the snapshot's index is of another term, the records
-    after it were replaced by the snapshot and count no more.
+    None means that a record is missing between others. Where the record at the
+    snapshot's index is of another term, the records after it were replaced by the
+    snapshot and count no more.
     """
     index = snapshot.index if snapshot else 0
     stale = entries.get(index)
