Order waiting work by rank, keep places for higher ranks, bound engine backlogs

Cause: workspaces' tiers put all kinds of a workspace on one tier, so long answers of low routes held the places; prompts queued within engines, where nothing orders them; a gateway took older news of a server from another control host.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -54,22 +54,27 @@
         if held is not None and announcement.order < held.announcement.order:
             return False
         if held is not None and announcement.order == held.announcement.order:
-            return self.hear_again(held, heard_ms)
+            if announcement.phase is held.phase:
+                return self.hear_again(held, heard_ms)
         if self.is_ended(held, announcement):
             return False
         if self.is_replaced(announcement):
+            if held is None:
+                ended = dataclasses.replace(
+                    announcement, phase=servers.ServerPhase.GONE
+                )
+                self.known[announcement.identity] = Known(ended, heard_ms)
             return False
         self.put(announcement, heard_ms)
         return held is None or differs(held.announcement, announcement)
 
     def hear_again(self, held, heard_ms):
         """Note that a server was heard through another control host."""
-        was_silent = held.phase is servers.ServerPhase.SILENT
         if heard_ms > held.heard_ms:
             self.known[held.announcement.identity] = dataclasses.replace(
                 held, heard_ms=heard_ms
             )
-        return was_silent
+        return False
 
     def is_ended(self, held, announcement):
         """Return whether the start that an announcement is of has ended."""
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -10,15 +10,23 @@
 time will be over before its turn is refused at once.
 """
 
+import collections
 import dataclasses
 import itertools
 
 from brasstrail.core import servers
 
+# The part of the places that is kept from the lowest rank for those above it, and
+# how long a rank is remembered.
+KEPT_PART = 0.4
+RANK_LIFE_MS = 5000
 # A plain server is given this many requests for each of its slots.
 PLAIN_DEPTH = 2.0
 # Prompt tokens an engine reads in a millisecond until its own speed is known.
 FIRST_TOKENS_PER_MS = 30.0
+# Prompts are sent to an engine as long as it has less than this to read, by its
+# own speed: enough to keep it busy across a round trip between regions.
+MAX_BACKLOG_MS = 150.0
 # Milliseconds that a token of output takes until the speed is known.
 FIRST_TOKEN_MS = 5.0
 SPEED_WEIGHT = 0.2
@@ -40,13 +48,16 @@
 class Work:
     """What a request asks of a server.
 
-    `give_up_ms` is the time at which its caller waits no longer.
+    `rank` orders work, lowest first: the tier that binds, then the route's own.
+    `goal_at_ms` is when its first answer is due, `give_up_ms` is the time at which
+    its caller waits no longer.
     """
 
     identity: str
     service: str
-    tier: int
+    rank: tuple[int, int]
     arrived_ms: int
+    goal_at_ms: int
     give_up_ms: int
     input_tokens: int = 0
     output_tokens: int = 0
@@ -88,10 +99,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
-    """The server chosen for a request, and what decided."""
+    """The server chosen for a request, and what decided.
+
+    `score_ms` is the expected delay with the way to the server, `load_ms` how long a
+    server of usual speed takes for a first answer under that load.
+    """
 
     identity: str
     score_ms: float
+    load_ms: float
     running: int
     others: int
     candidates: int
@@ -113,8 +129,8 @@
         self.engines = {}
         self.waiting = {}
         self.numbers = itertools.count()
-        self.dispatched = 0
-        self.started_at = []
+        self.started_at = collections.deque()
+        self.ranks = {}
 
     # What is known of servers.
 
@@ -133,8 +149,6 @@
             return
         server.announcement = announcement
         server.silent = silent
-        if not silent:
-            server.rest_until_ms = min(server.rest_until_ms, server.rest_until_ms)
 
     def remove_server(self, identity):
         """Forget a server."""
@@ -220,6 +234,8 @@
         """
         best = None
         candidates = 0
+        if not self.may_fill(work, now_ms):
+            return None
         for identity, server in self.servers.items():
             if not self.is_usable(server, work.service, now_ms) or identity in tried:
                 continue
@@ -234,7 +250,41 @@
         score, identity, server = best
         own = len(server.running)
         others = self.total_running(server, now_ms) - own
-        return Choice(identity, score, own, others, candidates)
+        load_ms = self.load_ms(server, work, now_ms)
+        return Choice(identity, score, load_ms, own, others, candidates)
+
+    def note_arrival(self, work):
+        """Remember which ranks ask for a service."""
+        self.ranks.setdefault(work.service, {})[work.rank] = work.arrived_ms
+
+    def may_fill(self, work, now_ms):
+        """Return whether places are left for a request of its rank.
+
+        The lower a rank, the more places it leaves to those above it, so that
+        long work of low rank does not hold every place when they come. A rank that
+        has not asked lately is left nothing.
+        """
+        asking = sorted(
+            rank
+            for rank, when in self.ranks.get(work.service, {}).items()
+            if now_ms - when <= RANK_LIFE_MS
+        )
+        above = sum(rank < work.rank for rank in asking)
+        if not above:
+            return True
+        part = 1.0 - KEPT_PART * above / max(1, len(asking) - 1)
+        places, taken = self.places(work.service, now_ms)
+        return taken < part * places
+
+    def places(self, service, now_ms):
+        """Return how many places the servers of a service have, and the taken."""
+        places = 0.0
+        taken = 0
+        for server in self.servers.values():
+            if self.is_usable(server, service, now_ms):
+                places += self.capacity(server)
+                taken += self.total_running(server, now_ms)
+        return places, taken
 
     def is_usable(self, server, service, now_ms):
         """Return whether a server takes new work of a service."""
@@ -272,21 +322,36 @@
         return server.announcement.slots * PLAIN_DEPTH
 
     def has_room(self, server, now_ms):
-        """Return whether a server may be given one more request."""
-        return self.total_running(server, now_ms) < self.capacity(server)
+        """Return whether a server may be given one more request.
+
+        An engine reads one prompt after the other. What waits there can no longer
+        be ordered, so a prompt is sent only where little is left to be read.
+        """
+        if self.total_running(server, now_ms) >= self.capacity(server):
+            return False
+        backlog_ms = self.reading(server, now_ms) / FIRST_TOKENS_PER_MS
+        return backlog_ms * server.slowness <= MAX_BACKLOG_MS
+
+    def reading(self, server, now_ms):
+        """Return the prompt tokens that a server has yet to read."""
+        own = sum(work.input_tokens for work in server.reading.values())
+        others = self.live_shares(server, now_ms)
+        return own + sum(share.input_tokens for share in others)
 
     def score(self, server, work, now_ms):
         """Return the expected delay of a first answer, with what the way costs."""
-        reading = sum(item.input_tokens for item in server.reading.values())
-        reading += sum(share.input_tokens for share in self.live_shares(server, now_ms))
-        running = self.total_running(server, now_ms)
-        expected_ms = self.expected_ms(work, reading) + running * FIRST_TOKEN_MS
-        delay_ms = expected_ms * server.slowness
+        delay_ms = self.load_ms(server, work, now_ms) * server.slowness
         if server.silent:
             delay_ms += FAR_MS
         delay_ms *= 1.0 + 4.0 * server.failures
         return delay_ms + self.way_ms(server.announcement.data_centre)
 
+    def load_ms(self, server, work, now_ms):
+        """Return how long a first answer takes under a server's present load."""
+        running = self.total_running(server, now_ms)
+        reading = self.reading(server, now_ms)
+        return self.expected_ms(work, reading) + running * FIRST_TOKEN_MS
+
     def expected_ms(self, work, reading):
         """Return how long a first answer takes at a server of usual speed."""
         return 20.0 + (work.input_tokens + reading) / FIRST_TOKENS_PER_MS
@@ -318,13 +383,13 @@
         """
         turns = []
         blocked = set()
-        for ticket, (work, tried) in self.in_order():
-            if work.service in blocked:
+        for ticket, (work, tried) in self.in_order(now_ms):
+            if (work.service, work.rank) in blocked:
                 continue
             choice = self.choose(work, tried, now_ms)
             if choice is None:
                 if not tried:
-                    blocked.add(work.service)
+                    blocked.add((work.service, work.rank))
                 continue
             del self.waiting[ticket]
             self.start(choice.identity, work)
@@ -332,34 +397,46 @@
             turns.append((ticket, choice))
         return turns
 
-    def in_order(self):
-        """Return the waiting requests, those to be served first at the head."""
-        return sorted(self.waiting.items(), key=lambda item: (item[1][0].tier, item[0]))
+    def in_order(self, now_ms):
+        """Return the waiting requests, those to be served first at the head.
+
+        Within a rank, those that can still reach their goal go first.
+        """
+
+        def place(item):
+            ticket, (work, _) = item
+            is_late = now_ms + self.expected_ms(work, 0) > work.goal_at_ms
+            return (work.rank, is_late, ticket)
+
+        return sorted(self.waiting.items(), key=place)
 
     def note_start(self, work, now_ms):
         """Remember a start, from which the pace of a service is measured."""
-        self.started_at.append((now_ms, work.service))
+        self.started_at.append((now_ms, work.service, work.rank))
         while self.started_at and self.started_at[0][0] < now_ms - PACE_WINDOW_MS:
-            self.started_at.pop(0)
+            self.started_at.popleft()
 
     def expected_wait_ms(self, work, now_ms):
-        """Return how long a request that waits will wait, by the present pace."""
+        """Return how long a request that waits will wait, by the present pace.
+
+        The pace is that of starts of its rank and below: what is above goes first
+        however much of it comes.
+        """
         ahead = sum(
             1
             for other, _ in self.waiting.values()
-            if other.service == work.service and other.tier <= work.tier
+            if other.service == work.service and other.rank <= work.rank
+        )
+        starts = sum(
+            1
+            for when, service, rank in self.started_at
+            if service == work.service
+            and rank >= work.rank
+            and when >= now_ms - PACE_WINDOW_MS
         )
-        recent = [
-            when
-            for when, service in self.started_at
-            if service == work.service and when >= now_ms - PACE_WINDOW_MS
-        ]
-        if len(recent) < MIN_PACE_STARTS:
-            return ahead * DEFAULT_TURN_MS
-        return ahead * PACE_WINDOW_MS / len(recent)
+        return ahead * PACE_WINDOW_MS / max(MIN_PACE_STARTS, starts)
 
 
 # The pace of starts is measured over the last two seconds.
 PACE_WINDOW_MS = 2000
-MIN_PACE_STARTS = 4
-DEFAULT_TURN_MS = 150.0
+MIN_PACE_STARTS = 1
--- a/brasstrail/coordination/retries.py
+++ b/brasstrail/coordination/retries.py
@@ -6,9 +6,10 @@
 
 import collections
 
-# Half of the stated bound: requests and sendings of one window are not counted in
-# the same window everywhere.
-SAFETY = 0.5
+# What is kept of the stated bound for gateways that start again within a window.
+SAFETY = 0.8
+# A gateway that has not been told takes itself for one of so many.
+UNKNOWN_GATEWAYS = 10
 
 
 class Budget:
@@ -23,7 +24,7 @@
         self.ratio = settings.retry_ratio * SAFETY
         self.slack = settings.retry_slack * SAFETY
         self.window_ms = 1000 * settings.retry_window_s
-        self.gateways = 1
+        self.gateways = UNKNOWN_GATEWAYS
         self.requests = collections.defaultdict(collections.deque)
         self.sendings = collections.defaultdict(collections.deque)
 
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -234,8 +234,9 @@
         return pool.Work(
             self.identity,
             self.service,
-            self.tier,
+            (self.tier, self.route.tier),
             self.arrived_ms,
+            int(self.arrived_ms + self.route.goal_ms),
             int(self.deadline_ms),
             prompt.input_tokens if prompt else 0,
             prompt.expected_output_tokens if prompt else 0,
@@ -245,6 +246,7 @@
     async def bring_to_server(self):
         """Send the request until it has an answer; return the outcome's word."""
         work = self.work()
+        self.gateway.pool.note_arrival(work)
         tried = set()
         failure = None
         while True:
@@ -280,13 +282,11 @@
         wait_ms = gateway.pool.expected_wait_ms(work, now_ms)
         if now_ms + wait_ms > last_ms:
             raise Refused(self.final_status(), "overload", self.retry_after_s())
-        turn = gateway.wait_for_turn(work, frozenset(tried))
-        try:
-            choice = await asyncio.wait_for(turn, max(1, last_ms - now_ms) / 1000)
-        except asyncio.TimeoutError:
-            raise Refused(
-                self.final_status(), "no_room", self.retry_after_s()
-            ) from None
+        choice = await gateway.wait_for_turn(
+            work, frozenset(tried), max(1, last_ms - now_ms)
+        )
+        if choice is None:
+            raise Refused(self.final_status(), "no_room", self.retry_after_s())
         self.waited_ms += clock.now_ms() - now_ms
         self.log_choice(choice)
         return choice
@@ -394,7 +394,7 @@
     async def take_answer(self, connection, choice, work):
         """Read the answer; return its head and the outcome."""
         started_ms = clock.now_ms()
-        expected_ms = self.gateway.pool.expected_ms(work, 0)
+        expected_ms = choice.load_ms
         silence_ms = self.silence_ms()
         try:
             reading = connection.read_head()
@@ -432,7 +432,7 @@
         if head.is_not_run:
             self.runs -= 1
             self.may_have_run = self.runs > 0
-            raise NotRun(f"not_run_{head.status}", head.status != 421)
+            raise NotRun(f"not_run_{head.status}", True)
         if head.is_encoded:
             raise Unknown("encoded_answer", False)
         if 200 <= head.status < 300 and not head.is_signed:
@@ -585,6 +585,7 @@
         """Log and count what became of the request."""
         gateway = self.gateway
         now_ms = clock.now_ms()
+        prompt = self.call.prompt if self.call else None
         first_ms = None if self.first_ms is None else self.first_ms - self.arrived_ms
         gateway.log.info(
             "forwarding: A request ended.",
@@ -593,6 +594,8 @@
             status=self.status,
             route=self.route.name if self.route else "",
             tier=self.tier,
+            route_tier=self.route.tier if self.route else 0,
+            input_tokens=prompt.input_tokens if prompt else 0,
             workspace=self.workspace or "",
             service=self.service,
             servers=",".join(self.servers),
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -11,7 +11,7 @@
 
 from tornado import httpserver, httputil, ioloop
 
-from brasstrail.coordination import allotments, pool, retries
+from brasstrail.coordination import allotments, directory, pool, retries
 from brasstrail.core import clock, errors, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import forwarding, gossip, metrics, publisher, subscription
@@ -30,6 +30,8 @@
 STOP_MARGIN_MS = 400
 IDLE_SLACK_S = 1.0
 CALLERS_BACKLOG = 1024
+# Gateways leave it to control hosts to tell which servers are silent.
+DIRECTORY_INTERVAL_MS = 0
 DEFAULT_HEADER_BYTES = 65_536
 
 
@@ -95,6 +97,7 @@
         self.document_version = 0
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
+        self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
         self.allotments = allotments.Allotments(now_ms)
         self.budget = retries.Budget(self.settings)
         self.connections = upstream.Connections()
@@ -220,24 +223,33 @@
     def take_directory(self, update):
         """Take news of servers."""
         for record in update.records:
-            announcement = publisher.to_announcement(record)
-            is_silent = announcement.phase is servers.ServerPhase.SILENT
-            if is_silent:
-                announcement = publisher.as_ready(announcement)
-            self.pool.put_server(announcement, is_silent)
-            self.log.info(
-                "gateway: A server changed.",
-                server=record.identity,
-                phase=record.phase,
-                sequence=record.sequence,
-                age_ms=record.age_ms,
-            )
+            self.take_server(record)
         if update.complete:
             named = {record.identity for record in update.records}
             for identity in set(self.pool.servers) - named:
                 self.pool.remove_server(identity)
+        self.directory.forget(clock.now_ms())
         self.start_turns()
 
+    def take_server(self, record):
+        """Take news of one server, unless later news has come before."""
+        announcement = publisher.to_announcement(record)
+        is_silent = announcement.phase is servers.ServerPhase.SILENT
+        if is_silent:
+            announcement = publisher.as_ready(announcement)
+        self.directory.take(announcement, clock.now_ms() - record.age_ms)
+        known = self.directory.known[record.identity].announcement
+        self.log.info(
+            "gateway: News of a server.",
+            server=record.identity,
+            phase=record.phase,
+            sequence=record.sequence,
+            age_ms=record.age_ms,
+            believed=str(known.phase),
+            believed_sequence=known.sequence,
+        )
+        self.pool.put_server(known, is_silent)
+
     def take_gateways(self, update):
         """Take news of the other gateways."""
         own = self.hub.settings.node.dialed_address
@@ -304,25 +316,36 @@
             )
             request.connection.close()
 
-    async def wait_for_turn(self, work, tried):
-        """Return the `pool.Choice` for a request once there is room for it.
+    async def wait_for_turn(self, work, tried, timeout_ms):
+        """Return the `pool.Choice` for a request, or None where no room came.
 
         The work then counts as started at that server.
         """
         ticket = self.pool.enqueue(work, tried)
         turn = self.hub.loop.create_future()
         self.turns[ticket] = turn
+        expiry = self.hub.loop.call_later(
+            timeout_ms / 1000, self.end_turn, ticket, turn
+        )
         try:
             self.start_turns()
             return await turn
         except asyncio.CancelledError:
-            if turn.done() and not turn.cancelled():
-                self.pool.finish(turn.result().identity, work)
+            self.pool.leave(ticket)
+            if turn.done() and not turn.cancelled() and turn.result() is not None:
+                self.release(turn.result().identity, work)
             raise
         finally:
+            expiry.cancel()
             self.turns.pop(ticket, None)
             self.pool.leave(ticket)
 
+    def end_turn(self, ticket, turn):
+        """Tell a request that no room has come in its time."""
+        self.pool.leave(ticket)
+        if not turn.done():
+            turn.set_result(None)
+
     def start_turns(self):
         """Send the waiting requests whose turn has come."""
         if not self.pool.waiting:
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -357,7 +357,7 @@
     def note_silence(self, now_ms):
         """Tell the gateways of servers that have fallen silent."""
         for identity, known in self.directory.known.items():
-            if identity in self.silent or known.phase is servers.ServerPhase.GONE:
+            if identity in self.silent or known.phase is not servers.ServerPhase.READY:
                 continue
             if self.directory.is_silent(known, now_ms):
                 self.silent.add(identity)
