--- /dev/null
+++ b/brasstrail/fakes/scripted.py
@@ -0,0 +1,181 @@
+"""A backend server that answers as a script says, on raw connections.
+
+Each request is answered by the next step of the script; the last step is used
+again. A step is a function of the server, the request and the writer. What arrived
+is kept in `requests`.
+"""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request as it arrived."""
+
+    line: str
+    headers: dict
+    body: bytes
+    connection: int
+
+
+class ScriptedServer:
+    """A server on a free port of loopback.
+
+    Parameters
+    ----------
+    steps : the script.
+    """
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.requests = []
+        self.connections = 0
+        self.closed_by_peer = 0
+        self.server = None
+        self.address = ""
+
+    async def start(self):
+        """Begin to listen."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def close(self):
+        """Stop listening."""
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.connections += 1
+        number = self.connections
+        try:
+            while True:
+                request = await read_request(reader, number)
+                if request is None:
+                    return
+                self.requests.append(request)
+                step = self.steps.pop(0) if len(self.steps) > 1 else self.steps[0]
+                await self.answer(step, request, reader, writer)
+                if writer.is_closing():
+                    return
+        except ConnectionError:
+            self.closed_by_peer += 1
+        except asyncio.CancelledError:
+            # The loop is closed under an open connection at the end of a test.
+            return
+        finally:
+            writer.close()
+
+    async def answer(self, step, request, reader, writer):
+        """Carry out a step; note where the peer closes meanwhile."""
+        task = asyncio.ensure_future(step(request, writer))
+        watch = asyncio.ensure_future(wait_for_end(reader))
+        await asyncio.wait((task, watch), return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            task.cancel()
+            raise ConnectionError("The peer has closed.")
+        watch.cancel()
+        await task
+
+
+async def wait_for_end(reader):
+    """Return when the peer has closed its side; reads nothing."""
+    while not reader.at_eof() and not reader._eof:
+        await asyncio.sleep(0.005)
+
+
+async def read_request(reader, connection):
+    """Return the next request, or None at the end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    line, *rest = head.decode("latin1").split("\r\n")
+    headers = {}
+    for item in rest:
+        name, _, value = item.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Request(line, headers, body, connection)
+
+
+def head_of(request, status, named):
+    """Return the head of an answer that belongs to a request."""
+    lines = [f"HTTP/1.1 {status} Some"]
+    named = {"X-Attempt-Id": request.headers.get("x-attempt-id", ""), **named}
+    lines.extend(f"{name}: {value}" for name, value in named.items() if value)
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def reply(status=200, body=b"whole", signed=True, after=b"", **named):
+    """Return a step that sends a whole answer, and bytes after it."""
+
+    async def step(request, writer):
+        given = {name.replace("_", "-"): value for name, value in named.items()}
+        given["Content-Length"] = str(len(body))
+        if signed:
+            given["X-Server-Signature"] = "s"
+        writer.write(head_of(request, status, given) + body + after)
+        await writer.drain()
+
+    return step
+
+
+def cut_off(sent=b""):
+    """Return a step that sends some bytes and closes the connection."""
+
+    async def step(request, writer):
+        writer.write(sent)
+        await writer.drain()
+        writer.close()
+
+    return step
+
+
+def unframed(body, is_reset):
+    """Return a step whose answer has no length and ends with the connection."""
+
+    async def step(request, writer):
+        writer.write(head_of(request, 200, {"X-Server-Signature": "s"}) + body)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            handle = writer.get_extra_info("socket")
+            handle.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    return step
+
+
+def stream(events, is_whole=True, pause_s=0.0, tail=b""):
+    """Return a step that sends an event stream in chunks, or breaks it off."""
+
+    async def step(request, writer):
+        named = {
+            "X-Server-Signature": "s",
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(head_of(request, 200, named))
+        for event in (*events, tail):
+            if event:
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if is_whole:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        else:
+            writer.close()
+
+    return step
+
+
+async def silence(request, writer):
+    """A step that never answers."""
+    await asyncio.sleep(60)
--- /dev/null
+++ b/brasstrail/platform/platform_test.py
@@ -0,0 +1,255 @@
+"""Tests of the adapter: what it reads, what it refuses, and that it stays alone."""
+
+import pathlib
+import re
+import tomllib
+import unittest
+
+import orjson
+from tornado import httputil
+
+import brasstrail
+from brasstrail.core import catalog, errors, servers
+from brasstrail.platform import announcements, documents, headers
+
+ROOT = pathlib.Path(brasstrail.__file__).parent
+PLATFORM_NAMES = re.compile(
+    "X-(Attempt-Id|Expected-Instance|Tenant-Id|Server-Signature|Server-Load|Kv-"
+    "|Pin-Ms|Prefix-Hash|Token-Usage|Model-Id|Not-Executed|Length-Hint|Deadline-Ms)"
+    "|path_prefix|uncached_tokens|kv_capacity|cold_remaining_ms|heartbeat_addr"
+    "|itl_goal_ms|api_keys|max_attempts|v1.readyz|/v1/instances|/v1/configuration"
+)
+
+
+def make_document(**changes):
+    """Return a valid document with some fields replaced."""
+    document = {
+        "version": 3,
+        "routes": [
+            {
+                "name": "r",
+                "host": "Some.example",
+                "path_prefix": "/a/",
+                "type": "streaming",
+                "timeout_ms": 5000,
+                "goal_ms": 1000,
+                "priority": 0,
+                "split": [{"service": "s", "weight": 9}, {"service": "t", "weight": 1}],
+                "max_attempts": 2,
+                "resumable": True,
+                "itl_goal_ms": 400,
+            }
+        ],
+        "services": [
+            {"name": "s", "max_conns": 9, "runtime": {"slots": 4, "kv_capacity": 9}},
+            {"name": "t", "max_conns": 9},
+        ],
+        "limits": {"max_header_bytes": 1, "idle_timeout_ms": 15000},
+        "tenants": [
+            {
+                "name": "w",
+                "api_keys": ["k"],
+                "priority": 1,
+                "unit": "token_count",
+                "rate_per_s": 10,
+                "burst": 20,
+                "uncached_tokens": 5,
+            }
+        ],
+    }
+    document.update(changes)
+    return document
+
+
+def make_route(**changes):
+    """Return the valid document's route with some fields replaced."""
+    return {**make_document()["routes"][0], **changes}
+
+
+INVALID = {
+    "cut short": orjson.dumps(make_document())[:-5],
+    "no object": b"[]",
+    "no version": orjson.dumps(make_document(version="3")),
+    "a truth value as version": orjson.dumps(make_document(version=True)),
+    "unknown service": orjson.dumps(
+        make_document(routes=[make_route(split=[{"service": "x", "weight": 1}])])
+    ),
+    "same place": orjson.dumps(make_document(routes=[make_route(), make_route()])),
+    "same place in other case": orjson.dumps(
+        make_document(routes=[make_route(), make_route(host="some.EXAMPLE")])
+    ),
+    "no weight": orjson.dumps(
+        make_document(routes=[make_route(split=[{"service": "s", "weight": 0}])])
+    ),
+    "no time-out": orjson.dumps(make_document(routes=[make_route(timeout_ms=0)])),
+    "shared key": orjson.dumps(
+        make_document(
+            tenants=[{"name": "w", "api_keys": ["k"]}, {"name": "v", "api_keys": ["k"]}]
+        )
+    ),
+    "routes are no list": orjson.dumps(make_document(routes={"a": 1})),
+    "unknown type": orjson.dumps(make_document(routes=[make_route(type="x")])),
+}
+
+
+class DocumentTest(unittest.TestCase):
+    """The operators' document."""
+
+    def test_a_valid_document_is_decoded(self):
+        decoded = documents.decode(orjson.dumps(make_document()))
+        route = decoded.find_route("some.example", "/a/b")
+        self.assertEqual((decoded.version, route.tier, route.max_servers), (3, 1, 2))
+        self.assertTrue(route.is_repeatable)
+        self.assertEqual(decoded.services_by_name["s"].engine.slots, 4)
+        self.assertIsNone(decoded.services_by_name["t"].engine)
+        access = decoded.workspaces_by_key["k"]
+        self.assertEqual((access.workspace, access.tier), ("w", 2))
+        self.assertIs(access.allotment.unit, catalog.AllotmentUnit.TOKENS)
+
+    def test_every_invalid_document_is_a_typed_error(self):
+        for name, body in INVALID.items():
+            with self.subTest(name), self.assertRaises(errors.InvalidChange):
+                documents.decode(body)
+
+    def test_longest_prefix_wins_and_shares_are_kept(self):
+        routes = [make_route(), make_route(name="long", path_prefix="/a/b/")]
+        decoded = documents.decode(orjson.dumps(make_document(routes=routes)))
+        self.assertEqual(decoded.find_route("some.example", "/a/b/c").name, "long")
+        self.assertIsNone(decoded.find_route("some.example", "/ab"))
+        route = decoded.find_route("some.example", "/a/")
+        drawn = [catalog.choose_service(route, step / 100) for step in range(100)]
+        self.assertEqual(drawn.count("t"), 10)
+
+
+class AnnouncementTest(unittest.TestCase):
+    """What servers say, and what other writers send."""
+
+    VALID = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "east",
+        "slots": 4,
+        "state": "draining",
+        "sequence": 2,
+        "born": 7,
+        "cold_remaining_ms": 1.5,
+        "phase": "mixed",
+    }
+
+    def test_an_announcement_is_decoded(self):
+        found = announcements.decode("i", orjson.dumps(self.VALID))
+        self.assertIs(found.phase, servers.ServerPhase.LEAVING)
+        self.assertEqual(found.order, (7, 2))
+
+    def test_other_writers_name_no_server(self):
+        cases = [b"", b"\xff", b"[]", b"{}"]
+        for name, value in (
+            ("service", 3),
+            ("address", "nowhere"),
+            ("state", "asleep"),
+            ("slots", "4"),
+            ("sequence", 1.5),
+            ("born", None),
+            ("cold_remaining_ms", "x"),
+        ):
+            cases.append(orjson.dumps({**self.VALID, name: value}))
+        for name in ("service", "address", "state", "sequence", "born", "zone"):
+            left = {key: value for key, value in self.VALID.items() if key != name}
+            cases.append(orjson.dumps(left))
+        for body in cases:
+            with self.subTest(body), self.assertRaises(errors.BadRequest):
+                announcements.decode("i", body)
+
+
+class HeaderTest(unittest.TestCase):
+    """Heads of requests and answers."""
+
+    def read(self, **named):
+        given = httputil.HTTPHeaders()
+        for name, value in named.items():
+            given[name.replace("_", "-")] = value
+        start_line = httputil.RequestStartLine("POST", "/a/b?c=1", "HTTP/1.1")
+        return headers.read_call(start_line, given)
+
+    def test_what_only_the_system_sets_is_taken_off(self):
+        own = (
+            "X-Tenant-Id",
+            "X-Kv-Reservation",
+            "X-Pin-Ms",
+            "X-Kv-Backup",
+            "Kv-From",
+            "X-Expected-Instance",
+            "X-Deadline-Ms",
+        )
+        call = self.read(**{name.replace("-", "_"): "1" for name in own})
+        self.assertEqual(call.headers, ())
+        sent = headers.server_headers(call, "i", "w", 500.7, "")
+        self.assertEqual(sent["X-Expected-Instance"], "i")
+        self.assertEqual(sent["X-Tenant-Id"], "w")
+        self.assertEqual(sent["X-Deadline-Ms"], "500")
+
+    def test_the_key_is_read_and_not_passed_on(self):
+        call = self.read(Authorization="Token secret", X_Model_Id="m")
+        self.assertEqual(call.key, "secret")
+        sent = headers.server_headers(call, "i", "w", 1, "")
+        self.assertNotIn("Authorization", sent)
+        self.assertEqual(sent["X-Model-Id"], "m")
+
+    def test_headers_of_the_connection_are_not_passed_on(self):
+        call = self.read(Connection="close, x-mine", X_Mine="1", TE="x", X_Other="2")
+        self.assertEqual(call.headers, (("X-Other", "2"),))
+
+    def test_a_caller_cannot_hide_what_must_be_passed_on(self):
+        call = self.read(Connection="x-attempt-id, x-token-usage", X_Attempt_Id="7")
+        self.assertIn(("X-Attempt-Id", "7"), call.headers)
+
+    def test_a_prompt_is_read(self):
+        call = self.read(
+            X_Token_Usage="1460,80", X_Prefix_Hash="a:800,b:410", X_Length_Hint="50"
+        )
+        self.assertEqual(call.prompt.input_tokens, 1460)
+        self.assertEqual(call.prompt.expected_output_tokens, 50)
+        self.assertEqual([part.tokens for part in call.prompt.parts], [800, 410])
+
+    def test_a_deadline_that_is_no_number_is_a_typed_error(self):
+        with self.assertRaises(errors.BadRequest):
+            self.read(X_Deadline_Ms="soon")
+
+    def test_which_answers_say_that_a_request_has_not_run(self):
+        for status, given, not_run in (
+            (503, {"X-Not-Executed": "1"}, True),
+            (503, {}, False),
+            (421, {}, True),
+            (500, {}, False),
+        ):
+            start_line = httputil.ResponseStartLine("HTTP/1.1", status, "x")
+            head = headers.read_answer(start_line, httputil.HTTPHeaders(given))
+            self.assertEqual(head.is_not_run, not_run)
+
+
+class BoundaryTest(unittest.TestCase):
+    """The platform's names stay within the adapter."""
+
+    def test_no_name_of_the_platform_is_found_elsewhere(self):
+        found = []
+        for path in ROOT.rglob("*.py"):
+            if ROOT / "platform" in path.parents or path.name.endswith("_test.py"):
+                continue
+            if "fakes" in path.parts:
+                continue
+            for match in PLATFORM_NAMES.finditer(path.read_text()):
+                found.append((str(path), match.group()))
+        self.assertEqual(found, [])
+
+    def test_requirements_name_what_the_project_names(self):
+        project = tomllib.loads((ROOT.parent / "pyproject.toml").read_text())
+        listed = [
+            line
+            for line in (ROOT.parent / "requirements.txt").read_text().splitlines()
+            if line and not line.startswith("#")
+        ]
+        self.assertEqual(listed, project["project"]["dependencies"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/brasstrail/roles/gateway_test.py
@@ -0,0 +1,409 @@
+"""Contract tests of the gateway on real sockets, against scripted servers."""
+
+import asyncio
+import unittest
+
+import orjson
+import structlog
+
+import brasstrail.platform  # noqa: F401
+from brasstrail.core import clock
+from brasstrail.fakes import scripted
+from brasstrail.protocol import messages
+from brasstrail.roles import gateway, hub, metrics
+from brasstrail.settings import settings
+from brasstrail.state import documents
+from brasstrail.tools import ports
+
+PORTS = ports.Ports()
+EVENTS = tuple(b"id: %d\ndata: x\n\n" % number for number in range(1, 7))
+
+
+def make_settings():
+    """Return the settings of a gateway on loopback."""
+    return settings.Settings(
+        settings.Node(
+            "g", ("gateway",), "one", "east", peer_port=PORTS.take(), regions={}
+        ),
+        settings.Cluster("c", "a-secret-of-16-letters", ("127.0.0.1:1",)),
+        gateway=settings.GatewayRole(
+            f"127.0.0.1:{PORTS.take()}", f"127.0.0.1:{PORTS.take()}"
+        ),
+    )
+
+
+def make_route(name, kind, **changes):
+    """Return a route of the operators' document."""
+    return {
+        "name": name,
+        "host": "h",
+        "path_prefix": f"/{name}/",
+        "type": kind,
+        "timeout_ms": 2000,
+        "goal_ms": 1000,
+        "service": "s",
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+DOCUMENT = {
+    "version": 1,
+    "routes": [
+        make_route("safe", "idempotent"),
+        make_route("unsafe", "non_idempotent"),
+        make_route("resumed", "streaming", resumable=True),
+        make_route("stream", "streaming"),
+        make_route("public", "idempotent", public=True),
+    ],
+    "services": [{"name": "s", "max_conns": 9}],
+    "tenants": [{"name": "w", "api_keys": ["k"]}],
+}
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """A gateway with two scripted servers, of which `a` is chosen first."""
+
+    async def asyncSetUp(self):
+        self.settings = make_settings()
+        log = structlog.wrap_logger(None, processors=[drop_line])
+        self.hub = hub.Hub(self.settings, 1, log)
+        self.gateway = gateway.Gateway(self.hub, metrics.Metrics())
+        await self.gateway.start()
+        self.addCleanup(self.hub.close)
+        self.addCleanup(self.gateway.close)
+        self.renew_lease()
+        self.put_document(DOCUMENT)
+
+    def renew_lease(self):
+        self.gateway.subscription.renewed_ms = clock.boot_ms()
+
+    def put_document(self, document):
+        packed = documents.pack(orjson.dumps(document))
+        self.gateway.take_document(messages.Document(document["version"], packed))
+
+    async def serve(self, *scripts):
+        """Start a server for each script; later ones are farther away."""
+        servers = []
+        for place, steps in enumerate(scripts):
+            server = scripted.ScriptedServer(*steps)
+            await server.start()
+            self.addCleanup(server.close)
+            servers.append(server)
+            zone = "east" if place == 0 else f"far{place}"
+            self.announce(f"i{place}", server.address, zone)
+        return servers
+
+    def announce(self, identity, address, zone="east", phase="ready", sequence=1):
+        record = messages.ServerRecord(
+            identity, "s", address, zone, phase, 1, sequence, 4, 0.0
+        )
+        self.gateway.take_directory(messages.Directory(False, (record,)))
+
+    async def connect(self):
+        host, _, port = self.settings.gateway.http_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        return reader, writer
+
+    def write_request(self, writer, route, key="k", body=b"", **named):
+        lines = [f"POST /{route}/x?y HTTP/1.1", "Host: h", "X-Attempt-Id: 42"]
+        if key:
+            lines.append(f"Authorization: Token {key}")
+        lines.append(f"Content-Length: {len(body)}")
+        lines.extend(
+            f"{name.replace('_', '-')}: {each}" for name, each in named.items()
+        )
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+    async def call(self, route, **options):
+        """Return status, headers and body; body is None where it is not whole."""
+        reader, writer = await self.connect()
+        self.write_request(writer, route, **options)
+        return await asyncio.wait_for(read_answer(reader), 5)
+
+
+def drop_line(logger, method, event):
+    """Write no log in tests."""
+    raise structlog.DropEvent
+
+
+async def read_answer(reader):
+    """Return status, headers and body of an answer."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    line, *rest = head.decode().split("\r\n")
+    headers = {}
+    for item in rest:
+        name, _, value = item.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    status = int(line.split()[1])
+    try:
+        if "content-length" in headers:
+            return (
+                status,
+                headers,
+                await reader.readexactly(int(headers["content-length"])),
+            )
+        return status, headers, await read_chunks(reader)
+    except asyncio.IncompleteReadError:
+        return status, headers, None
+
+
+async def read_chunks(reader):
+    """Return a body in chunks."""
+    body = b""
+    while True:
+        size = int((await reader.readuntil(b"\r\n"))[:-2], 16)
+        body += (await reader.readexactly(size + 2))[:-2]
+        if not size:
+            return body
+
+
+class PlainTest(GatewayCase):
+    """Plain requests: unchanged, run once, answered truly."""
+
+    async def test_request_and_answer_pass_unchanged(self):
+        (server,) = await self.serve([scripted.reply(201, b"b\0dy", X_Mine="1")])
+        status, headers, body = await self.call("unsafe", body=b"in", X_Other="2")
+        self.assertEqual((status, body), (201, b"b\0dy"))
+        self.assertEqual(headers["x-mine"], "1")
+        self.assertEqual(headers["x-server-signature"], "s")
+        (request,) = server.requests
+        self.assertEqual(request.line, "POST /unsafe/x?y HTTP/1.1")
+        self.assertEqual(request.body, b"in")
+        self.assertEqual(request.headers["x-other"], "2")
+        self.assertEqual(request.headers["x-tenant-id"], "w")
+        self.assertEqual(request.headers["x-expected-instance"], "i0")
+        self.assertNotIn("authorization", request.headers)
+        self.assertLessEqual(int(request.headers["x-deadline-ms"]), 2000)
+
+    async def test_answers_that_prove_no_run_move_the_request_on(self):
+        for step in (
+            scripted.reply(503, signed=False, X_Not_Executed="1"),
+            scripted.reply(421, signed=False),
+        ):
+            first, second = await self.serve([step], [scripted.reply()])
+            status, _, body = await self.call("unsafe")
+            self.assertEqual((status, body), (200, b"whole"))
+            self.assertEqual((len(first.requests), len(second.requests)), (1, 1))
+            self.forget_servers()
+
+    async def test_a_server_that_refuses_connections_is_passed_over(self):
+        first, second = await self.serve([scripted.silence], [scripted.reply()])
+        first.close()
+        await asyncio.sleep(0.01)
+        status, _, _ = await self.call("unsafe")
+        self.assertEqual(status, 200)
+
+    async def test_a_non_idempotent_request_never_runs_twice(self):
+        spoilt = {
+            "closed": scripted.cut_off(),
+            "no answer in the protocol": scripted.cut_off(b"\0\0garbage\r\n\r\n"),
+            "body cut short": scripted.cut_off(
+                b"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n"
+                b"X-Attempt-Id: 42\r\nContent-Length: 9\r\n\r\nabc"
+            ),
+            "not signed": scripted.reply(signed=False),
+            "of another request": scripted.reply(X_Attempt_Id="41"),
+            "encoded": scripted.reply(Content_Encoding="gzip"),
+            "503 without a word on the run": scripted.reply(503),
+            "reset": scripted.unframed(b"part", is_reset=True),
+        }
+        for name, step in spoilt.items():
+            with self.subTest(name):
+                first, second = await self.serve([step], [scripted.reply()])
+                status, headers, _ = await self.call("unsafe")
+                self.assertEqual(status, 502)
+                self.assertNotIn("x-server-signature", headers)
+                self.assertEqual((len(first.requests), len(second.requests)), (1, 0))
+                self.forget_servers()
+
+    async def test_an_idempotent_request_is_repeated_within_its_bound(self):
+        for step in (
+            scripted.cut_off(),
+            scripted.reply(500),
+            scripted.reply(X_Attempt_Id="41"),
+        ):
+            first, second = await self.serve([step], [scripted.reply()])
+            status, _, body = await self.call("safe")
+            self.assertEqual((status, body), (200, b"whole"))
+            self.forget_servers()
+        first, second = await self.serve(
+            [scripted.reply(500, b"1")] * 2, [scripted.reply(500, b"2")]
+        )
+        status, headers, _ = await self.call("safe")
+        self.assertEqual((status, headers["x-server-signature"]), (500, "s"))
+        self.assertEqual(len(first.requests) + len(second.requests), 2)
+
+    async def test_a_servers_failure_passes_unchanged(self):
+        await self.serve([scripted.reply(500, b"own words")])
+        status, headers, body = await self.call("unsafe")
+        self.assertEqual((status, body), (500, b"own words"))
+        self.assertEqual(headers["x-server-signature"], "s")
+
+    async def test_an_answer_without_length_is_whole_where_it_ends(self):
+        await self.serve([scripted.unframed(b"to the end", is_reset=False)])
+        status, _, body = await self.call("unsafe")
+        self.assertEqual((status, body), (200, b"to the end"))
+
+    async def test_bytes_after_an_answer_reach_nobody(self):
+        stray = (
+            b"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nContent-Length: 1\r\n\r\nz"
+        )
+        step = scripted.reply(after=stray)
+        (server,) = await self.serve([step])
+        for _ in range(3):
+            status, _, body = await self.call("unsafe")
+            self.assertEqual((status, body), (200, b"whole"))
+        self.assertEqual(server.connections, 3)
+
+    async def test_a_sound_connection_is_used_again(self):
+        (server,) = await self.serve([scripted.reply()])
+        for _ in range(3):
+            await self.call("unsafe")
+        self.assertEqual(server.connections, 1)
+
+    async def test_time_over_says_whether_the_request_may_have_run(self):
+        await self.serve([scripted.silence])
+        status, _, _ = await self.call("unsafe", X_Deadline_Ms="200")
+        self.assertEqual(status, 504)
+        self.forget_servers()
+        status, headers, _ = await self.call("unsafe", X_Deadline_Ms="200")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+
+    async def test_a_caller_that_leaves_ends_the_servers_work(self):
+        (server,) = await self.serve([scripted.silence])
+        _, writer = await self.connect()
+        self.write_request(writer, "unsafe")
+        await until(lambda: server.requests)
+        writer.close()
+        await until(lambda: server.closed_by_peer)
+        await until(lambda: not self.gateway.running)
+        self.assertEqual(self.gateway.pool.own_shares(), {})
+
+    async def test_a_leaving_server_gets_nothing_more(self):
+        first, second = await self.serve([scripted.reply()], [scripted.reply()])
+        self.announce("i0", first.address, phase="leaving", sequence=2)
+        self.announce("i0", first.address, phase="ready", sequence=1)
+        await self.call("unsafe")
+        self.assertEqual((len(first.requests), len(second.requests)), (0, 1))
+
+    def forget_servers(self):
+        for identity in list(self.gateway.pool.servers):
+            self.gateway.pool.remove_server(identity)
+        self.gateway.directory.known.clear()
+        self.gateway.directory.by_address.clear()
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    for _ in range(1000):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("It did not come to hold.")
+
+
+class KeyTest(GatewayCase):
+    """Keys, routes and the lease on acting on them."""
+
+    async def test_unknown_keys_and_routes(self):
+        await self.serve([scripted.reply()])
+        for route, key, expected in (
+            ("safe", "k", 200),
+            ("safe", "other", 401),
+            ("safe", "", 401),
+            ("public", "", 200),
+            ("none", "k", 404),
+        ):
+            with self.subTest(route=route, key=key):
+                status, _, _ = await self.call(route, key=key)
+                self.assertEqual(status, expected)
+
+    async def test_without_a_lease_no_key_is_served_and_none_is_denied(self):
+        (server,) = await self.serve([scripted.reply()])
+        self.gateway.subscription.renewed_ms = (
+            clock.boot_ms() - self.settings.gateway.revoke_ms
+        )
+        for route, key in (("safe", "k"), ("safe", "other"), ("none", "k")):
+            status, headers, _ = await self.call(route, key=key)
+            self.assertEqual(status, 503)
+            self.assertIn("retry-after", headers)
+        self.assertEqual(server.requests, [])
+        status, _, _ = await self.call("public", key="")
+        self.assertEqual(status, 200)
+
+    async def test_a_removed_key_and_an_older_document(self):
+        await self.serve([scripted.reply()])
+        newer = {**DOCUMENT, "version": 5, "tenants": [{"name": "w", "api_keys": []}]}
+        self.put_document(newer)
+        self.put_document({**DOCUMENT, "version": 4})
+        status, _, _ = await self.call("safe")
+        self.assertEqual(status, 401)
+
+
+class StreamTest(GatewayCase):
+    """Streams: every event once and in order, ended only where they ended."""
+
+    async def test_a_stream_passes_as_it_comes(self):
+        await self.serve([scripted.stream(EVENTS, pause_s=0.01)])
+        status, _, body = await self.call("stream")
+        self.assertEqual((status, body), (200, b"".join(EVENTS)))
+
+    async def test_a_broken_stream_goes_on_elsewhere_after_its_last_event(self):
+        first, second = await self.serve(
+            [scripted.stream(EVENTS[:3], is_whole=False, tail=b"id: 4\nda")],
+            [scripted.stream(EVENTS[3:])],
+        )
+        status, _, body = await self.call("resumed")
+        self.assertEqual((status, body), (200, b"".join(EVENTS)))
+        self.assertEqual(second.requests[0].headers["last-event-id"], "3")
+        self.assertEqual(len(first.requests), 1)
+
+    async def test_a_broken_stream_that_may_not_go_on_does_not_look_whole(self):
+        first, second = await self.serve(
+            [scripted.stream(EVENTS[:3], is_whole=False)], [scripted.stream(EVENTS)]
+        )
+        status, _, body = await self.call("stream")
+        self.assertEqual((status, body), (200, None))
+        self.assertEqual(second.requests, [])
+
+    async def test_a_callers_own_last_event_is_passed_on(self):
+        (server,) = await self.serve([scripted.stream(EVENTS[2:])])
+        _, _, body = await self.call("resumed", Last_Event_Id="2")
+        self.assertEqual(body, b"".join(EVENTS[2:]))
+        self.assertEqual(server.requests[0].headers["last-event-id"], "2")
+
+
+class ReadyTest(GatewayCase):
+    """Whether callers should be sent here."""
+
+    async def ask(self):
+        host, _, port = self.settings.gateway.ready_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: h\r\n\r\n")
+        status, _, _ = await read_answer(reader)
+        writer.close()
+        return status
+
+    async def test_ready_with_document_and_lease_only(self):
+        self.assertEqual(await self.ask(), 200)
+        self.gateway.subscription.renewed_ms = clock.boot_ms() - 4000
+        self.assertEqual(await self.ask(), 503)
+        self.renew_lease()
+        self.gateway.stopping_ms = clock.now_ms()
+        self.assertEqual(await self.ask(), 503)
+
+    async def test_a_stopping_gateway_answers_and_closes(self):
+        await self.serve([scripted.reply()])
+        self.gateway.stopping_ms = clock.now_ms()
+        status, headers, _ = await self.call("unsafe")
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        self.gateway.stopping_ms -= gateway.TAKE_WHILE_STOPPING_MS
+        status, headers, _ = await self.call("unsafe")
+        self.assertEqual((status, headers["connection"]), (503, "close"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/brasstrail/state/documents_test.py
@@ -0,0 +1,45 @@
+"""Tests of the operators' document: the highest version wins."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brasstrail.core import errors
+from brasstrail.protocol import codec, commands, messages
+from brasstrail.state import documents, machine
+from brasstrail.tools import fuzzing
+
+
+class DocumentTest(unittest.TestCase):
+    """Documents in any order, repeated, and through a snapshot."""
+
+    @settings(fuzzing.SETTINGS, max_examples=100)
+    @given(st.lists(st.tuples(st.integers(1, 9), st.binary(max_size=8)), max_size=12))
+    def test_the_first_content_of_the_highest_version_is_held(self, sent):
+        state = machine.Machine()
+        expected = (0, b"")
+        for index, (version, body) in enumerate(sent, 1):
+            command = commands.ReplaceDocument(version, documents.pack(body))
+            payload = codec.encode(codec.COMMAND, command)
+            state.apply(messages.Entry(index, 1, payload))
+            if version > expected[0]:
+                expected = (version, documents.pack(body))
+            if index % 3 == 0:
+                dumped = state.dump()
+                state = machine.Machine()
+                state.restore(dumped)
+        self.assertEqual((state.document.version, state.document.packed), expected)
+
+    def test_a_document_comes_back_as_it_was_sent(self):
+        body = b'{"version": 1, "unknown": [1, 2]}'
+        self.assertEqual(documents.unpack(documents.pack(body)), body)
+
+    def test_a_damaged_document_is_a_typed_error(self):
+        for packed in (b"", b"nothing", documents.pack(b"x" * 100)[:-2]):
+            with self.assertRaises(errors.BadRequest):
+                documents.unpack(packed)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/tools/checks.py
+++ b/brasstrail/tools/checks.py
@@ -67,7 +67,7 @@
     """Run all tests and end with the verdict."""
     outcomes = Outcomes()
     hooks = [("testOutcome", outcomes)]
-    nose2.main(argv=["nose2"], exit=False, module=None, extraHooks=hooks)
+    nose2.main(argv=["nose2", "-t", "."], exit=False, module=None, extraHooks=hooks)
     verdict = judge(outcomes, read_known_red())
     for name in verdict.passed_over:
         print(f"known red, passed over: {name}")
