--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -26,7 +26,7 @@
 FIRST_TOKENS_PER_MS = 30.0
 # Prompts are sent to an engine as long as it has less than this to read, by its
 # own speed: enough to keep it busy across a round trip between regions.
-MAX_BACKLOG_MS = 150.0
+MAX_BACKLOG_MS = 120.0
 # Milliseconds that a token of output takes until the speed is known.
 FIRST_TOKEN_MS = 5.0
 SPEED_WEIGHT = 0.2
@@ -35,6 +35,8 @@
 NEAR_MS = 0.0
 REGION_MS = 15.0
 FAR_MS = 110.0
+# Added where an answer would come too late to be of use: more than any other delay.
+HOPELESS_MS = 20_000.0
 # A server that failed is left alone for a while that doubles with each failure.
 FIRST_REST_MS = 300
 LONGEST_REST_MS = 5000
@@ -83,6 +85,7 @@
     running : all work that this gateway has there, by identity.
     shares : (share, heard_ms) of the other gateways, by name.
     slowness : how many times as long as expected a first answer takes.
+    token_ms : how long a token of output takes, under the load that it has.
     failures : the moving rate of failed calls, 0 to 1.
     """
 
@@ -92,6 +95,7 @@
     running: dict = dataclasses.field(default_factory=dict)
     shares: dict = dataclasses.field(default_factory=dict)
     slowness: float = 1.0
+    token_ms: float = FIRST_TOKEN_MS
     failures: float = 0.0
     rest_ms: int = 0
     rest_until_ms: int = 0
@@ -198,6 +202,12 @@
         ratio = min(20.0, max(0.2, elapsed_ms / max(1.0, expected_ms)))
         server.slowness += SPEED_WEIGHT * (ratio - server.slowness)
 
+    def note_pace(self, identity, token_ms):
+        """Note how long each token of an answer took at a server."""
+        server = self.servers.get(identity)
+        if server is not None:
+            server.token_ms += SPEED_WEIGHT * (token_ms - server.token_ms)
+
     def finish(self, identity, work):
         """Note that a request is no longer at a server."""
         server = self.servers.get(identity)
@@ -339,8 +349,15 @@
         return own + sum(share.input_tokens for share in others)
 
     def score(self, server, work, now_ms):
-        """Return the expected delay of a first answer, with what the way costs."""
+        """Return the expected delay of a first answer, with what the way costs.
+
+        A server on which the answer would not end before its caller gives up comes
+        after all others.
+        """
         delay_ms = self.load_ms(server, work, now_ms) * server.slowness
+        end_ms = now_ms + delay_ms + work.output_tokens * server.token_ms
+        if end_ms > work.give_up_ms:
+            delay_ms += HOPELESS_MS
         if server.silent:
             delay_ms += FAR_MS
         delay_ms *= 1.0 + 4.0 * server.failures
--- a/brasstrail/core/catalog.py
+++ b/brasstrail/core/catalog.py
@@ -41,7 +41,8 @@
     `tier` 1 is the highest. `time_limit_ms` bounds how long a caller is kept
     waiting, `goal_ms` is the time within which an answer is on time (for a
     stream, its first event), `max_pause_ms` is the longest pause between events
-    of a stream that is on time; 0 sets no bound. `max_servers` bounds the servers
+    of a stream that is on time; 0 sets no bound. Callers wait no longer than
+    `patience_ms` for the next event. `max_servers` bounds the servers
     that one request may be sent to. `is_resumable` streams may go on at another
     server after their last event.
     """
@@ -58,6 +59,7 @@
     is_public: bool = False
     is_resumable: bool = False
     max_pause_ms: float = 0.0
+    patience_ms: float = float("inf")
 
     @property
     def is_repeatable(self):
@@ -72,11 +74,13 @@
     """What is known of a model service's engines.
 
     `slots` is how many requests one engine batches; `memory_tokens` bounds the
-    tokens that its running requests and its cache hold together.
+    tokens that its running requests and its cache hold together; an event of its
+    streams holds `tokens_an_event`.
     """
 
     slots: int
     memory_tokens: int
+    tokens_an_event: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/platform/documents.py
+++ b/brasstrail/platform/documents.py
@@ -3,8 +3,8 @@
 Names that mislead: `type` of a route says what may be repeated and `streaming` is
 one of its values; `priority` 0 is the highest, while tiers begin at 1; `goal_ms` of
 a stream is the goal of its first event; `itl_goal_ms` is the longest pause between
-events; `max_attempts` counts servers; `tenants` are workspaces; `rate_per_s` and
-`burst` count tokens where `unit` is `token_count`.
+events; `stride` is the tokens in an event; `max_attempts` counts servers; `tenants`
+are workspaces; `rate_per_s` and `burst` count tokens where `unit` is `token_count`.
 """
 
 import orjson
@@ -20,6 +20,9 @@
     "token_count": catalog.AllotmentUnit.TOKENS,
     "request_count": catalog.AllotmentUnit.REQUESTS,
 }
+LEAST_PATIENCE_MS = 2000.0
+GOALS_WAITED = 4.0
+PAUSES_WAITED = 8.0
 REMEDY = "Correct what is named and send it again."
 
 
@@ -70,7 +73,9 @@
 def read_engine(table):
     """Return what is known of a service's engines."""
     return catalog.Engine(
-        int(number(table, "slots", 1)), int(number(table, "kv_capacity", 0))
+        int(number(table, "slots", 1)),
+        int(number(table, "kv_capacity", 0)),
+        max(1.0, number(table, "stride", 1)),
     )
 
 
@@ -99,9 +104,23 @@
         flag(table, "public"),
         flag(table, "resumable"),
         number(table, "itl_goal_ms", 0),
+        read_patience(table, time_limit_ms),
     )
 
 
+def read_patience(table, time_limit_ms):
+    """Return how long callers wait for the next event of a stream.
+
+    The platform states it: the longest of two seconds, four times the goal of the
+    first event, and eight times the longest pause that is on time.
+    """
+    if KINDS[table["type"]] is not catalog.RouteKind.STREAM:
+        return time_limit_ms
+    goal_ms = number(table, "goal_ms", time_limit_ms)
+    pause_ms = number(table, "itl_goal_ms", 0)
+    return max(LEAST_PATIENCE_MS, GOALS_WAITED * goal_ms, PAUSES_WAITED * pause_ms)
+
+
 def read_splits(table, name, services):
     """Return a route's services and their shares."""
     if table.get("split"):
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -119,6 +119,8 @@
         self.head_sent = False
         self.cutter = None
         self.first_ms = None
+        self.last_event_ms = None
+        self.longest_pause_ms = 0
         self.waited_ms = 0
         self.servers = []
         self.reasons = []
@@ -278,7 +280,7 @@
         now_ms = clock.now_ms()
         if not gateway.pool.has_servers(self.service):
             raise Refused(self.final_status(), "no_server", 1.0)
-        last_ms = self.deadline_ms - self.service_ms(work)
+        last_ms = self.first_answer_by_ms() - self.service_ms(work)
         wait_ms = gateway.pool.expected_wait_ms(work, now_ms)
         if now_ms + wait_ms > last_ms:
             raise Refused(self.final_status(), "overload", self.retry_after_s())
@@ -291,6 +293,11 @@
         self.log_choice(choice)
         return choice
 
+    def first_answer_by_ms(self):
+        """Return when the caller leaves if nothing more has come."""
+        heard_ms = self.last_event_ms or self.arrived_ms
+        return min(self.deadline_ms, heard_ms + self.route.patience_ms)
+
     def service_ms(self, work):
         """Return the least time that a server needs for a first answer."""
         return MIN_SERVICE_MS + work.input_tokens / pool.FIRST_TOKENS_PER_MS
@@ -412,6 +419,7 @@
             )
             result = await self.take_success(connection, head)
             self.gateway.pool.succeeded(choice.identity)
+            self.note_pace(choice)
             return head, result
         return head, await self.take_failure(connection, choice, head)
 
@@ -490,6 +498,16 @@
         start_line = httputil.ResponseStartLine("", status, reason)
         return self.connection.write_headers(start_line, headers, chunk)
 
+    def note_pace(self, choice):
+        """Tell the pool how long a token took, where that can be told."""
+        engine = self.gateway.pool.engines.get(self.service)
+        events_after = self.cutter.events - 1 if self.cutter else 0
+        if engine is None or events_after < 2 or len(self.servers) > 1:
+            return
+        length_ms = self.last_event_ms - self.first_ms
+        token_ms = length_ms / events_after / engine.tokens_an_event
+        self.gateway.pool.note_pace(choice.identity, token_ms)
+
     async def pass_stream(self, connection, head):
         """Pass a stream on as it comes."""
         if self.cutter is None:
@@ -526,13 +544,23 @@
         whole = self.cutter.feed(chunk)
         if not whole:
             return
+        self.note_events()
         if not self.head_sent:
-            self.first_ms = clock.now_ms()
             self.write_stream_head(head)
         if self.connection.stream.closed():
             raise CallerGone()
         await self.connection.write(whole)
 
+    def note_events(self):
+        """Note when events came, from which pauses are measured."""
+        now_ms = clock.now_ms()
+        if self.first_ms is None:
+            self.first_ms = now_ms
+        else:
+            pause_ms = now_ms - self.last_event_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self.last_event_ms = now_ms
+
     def write_stream_head(self, head):
         """Write the head of a stream, whose length is not known."""
         kept = httputil.HTTPHeaders()
@@ -602,6 +630,8 @@
             reasons=",".join(self.reasons),
             waited_ms=self.waited_ms,
             first_ms=first_ms,
+            longest_pause_ms=self.longest_pause_ms,
+            events=self.cutter.events if self.cutter else 0,
             total_ms=now_ms - self.arrived_ms,
             waiting=len(gateway.pool.waiting),
             version=gateway.document_version,
