Tell gateways of all others; silence ends no answer that cannot go on elsewhere

Cause: control hosts sent their own part of the gateways' list to gateways, which took it for the whole and told only these what they run. Change: only control hosts that speak of the log are peers; a silent server is left only for one with room; less bytes between regions; buckets use half of the slack.

--- a/brasstrail/coordination/allotments.py
+++ b/brasstrail/coordination/allotments.py
@@ -3,7 +3,9 @@
 Each gateway counts what it lets in and hears from the others what they have let
 in. All keep the same bucket: it fills at the workspace's rate up to the burst, and
 everything that any gateway let in is taken from it. What was let in since the
-others last spoke is covered by the bound's slack.
+others last spoke is covered by the bound's slack, of which the bucket may use a
+part: a request within its allotment must not be refused for a count that is not
+exact.
 
 A gateway that is silent may be cut off and serving. It is taken to spend its even
 share, and a gateway that hears nobody spends no more than its own even share, so
@@ -17,6 +19,9 @@
 # Gateways speak once a second at least.
 SILENT_AFTER_MS = 3000
 MS_PER_SECOND = 1000
+# The part of the bound's slack by which the bucket is deeper than the burst; the
+# rest is for what gateways let in before they hear of one another.
+SLACK_PART = 0.5
 # A refused caller is not sent away for longer than this.
 MAX_WAIT_S = 10.0
 
@@ -45,10 +50,12 @@
     Parameters
     ----------
     now_ms : the present time.
+    slack : what may be let in beyond an allotment because counts are not exact.
     """
 
-    def __init__(self, now_ms):
+    def __init__(self, now_ms, slack=0.0):
         self.started_ms = now_ms
+        self.slack = SLACK_PART * slack
         self.buckets = {}
         self.spent = {}
         self.peers = {}
@@ -61,9 +68,9 @@
             self.fill_bucket(name, now_ms)
             bucket = self.buckets.get(name)
             if bucket is None:
-                self.buckets[name] = Bucket(allotment.burst, now_ms)
+                self.buckets[name] = Bucket(self.depth(allotment), now_ms)
             else:
-                bucket.level = min(bucket.level, allotment.burst)
+                bucket.level = min(bucket.level, self.depth(allotment))
         self.rates = rates
 
     def set_peers(self, names, now_ms):
@@ -103,7 +110,7 @@
             return 0.0
         self.fill_bucket(workspace, now_ms)
         bucket = self.buckets[workspace]
-        needed = min(cost, allotment.burst)
+        needed = min(cost, self.depth(allotment))
         if bucket.level < needed:
             rate = self.usable_rate(allotment, now_ms)
             return min(MAX_WAIT_S, (needed - bucket.level) / rate)
@@ -145,5 +152,10 @@
         elapsed_s = max(0, now_ms - bucket.filled_ms) / MS_PER_SECOND
         gained = elapsed_s * self.usable_rate(allotment, now_ms)
         bucket.filled_ms = now_ms
-        if bucket.level < allotment.burst:
-            bucket.level = min(allotment.burst, bucket.level + gained)
+        depth = self.depth(allotment)
+        if bucket.level < depth:
+            bucket.level = min(depth, bucket.level + gained)
+
+    def depth(self, allotment):
+        """Return how much a bucket holds."""
+        return allotment.burst + self.slack
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -18,7 +18,7 @@
 
 # The part of the places that is kept from the lowest rank for those above it, and
 # how long a rank is remembered.
-KEPT_PART = 0.4
+KEPT_PART = 0.2
 RANK_LIFE_MS = 5000
 # A plain server is given this many requests for each of its slots.
 PLAIN_DEPTH = 2.0
--- a/brasstrail/coordination/retries.py
+++ b/brasstrail/coordination/retries.py
@@ -34,13 +34,17 @@
 
     def take(self, service, now_ms):
         """Count a second sending if there is room; return whether there was."""
+        if not self.has_room(service, now_ms):
+            return False
+        self.sendings[service].append(now_ms)
+        return True
+
+    def has_room(self, service, now_ms):
+        """Return whether one more second sending is within the budget."""
         requests = self.recent(self.requests[service], now_ms)
         sendings = self.recent(self.sendings[service], now_ms)
         allowed = self.ratio * len(requests) + self.slack / self.gateways
-        if len(sendings) + 1 > allowed:
-            return False
-        sendings.append(now_ms)
-        return True
+        return len(sendings) + 1 <= allowed
 
     def recent(self, times, now_ms):
         """Drop the times that lie before the window and return the rest."""
--- a/brasstrail/protocol/codec.py
+++ b/brasstrail/protocol/codec.py
@@ -15,6 +15,7 @@
 from brasstrail.core import errors
 from brasstrail.protocol import schema
 
+DECODE_ERRORS = (capnp.KjException, KeyError, ValueError, UnicodeDecodeError)
 MAX_WORDS = 32 * 1024 * 1024
 
 SCHEMA = capnp.load(str(schema.SCHEMA_PATH))
@@ -148,6 +149,14 @@
     return message.to_bytes()
 
 
+def encode_packed(union, value):
+    """Return `value` as packed bytes: fewer, at some cost of processor time."""
+    record = type(value)
+    message = getattr(SCHEMA, union).new_message()
+    CODECS[record].fill(message.init(NAMES[record]), value)
+    return message.to_bytes_packed()
+
+
 def decode(union, payload):
     """Return the record that the bytes hold.
 
@@ -158,10 +167,31 @@
             payload, traversal_limit_in_words=MAX_WORDS
         )
         with opened as reader:
-            name = str(reader.which())
-            return TYPES[union, name].load(getattr(reader, name))
-    except (capnp.KjException, KeyError, ValueError, UnicodeDecodeError) as error:
-        raise errors.BadRequest(
-            f"A message could not be decoded: {error}.",
-            "Run the same version on every host.",
-        ) from error
+            return load(union, reader)
+    except DECODE_ERRORS as error:
+        raise undecodable(error) from error
+
+
+def decode_packed(union, payload):
+    """Return the record that packed bytes hold; raise as `decode` does."""
+    try:
+        reader = getattr(SCHEMA, union).from_bytes_packed(
+            payload, traversal_limit_in_words=MAX_WORDS
+        )
+        return load(union, reader)
+    except DECODE_ERRORS as error:
+        raise undecodable(error) from error
+
+
+def load(union, reader):
+    """Return the record in an opened message."""
+    name = str(reader.which())
+    return TYPES[union, name].load(getattr(reader, name))
+
+
+def undecodable(error):
+    """Return the typed error for bytes that hold no message."""
+    return errors.BadRequest(
+        f"A message could not be decoded: {error}.",
+        "Run the same version on every host.",
+    )
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -553,6 +553,7 @@
     names: tuple[str, ...]
     addresses: tuple[str, ...]
     control_addresses: tuple[str, ...]
+    data_centres: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -575,7 +576,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class GatewayState:
-    """What a gateway tells the others, in one datagram."""
+    """What a gateway tells the others, in one datagram.
+
+    `spent` holds nothing where it was told shortly before.
+    """
 
     name: str
     incarnation: int
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -283,6 +283,7 @@
   names @0 :List(Text);
   addresses @1 :List(Text);
   controlAddresses @2 :List(Text);
+  dataCentres @3 :List(Text);
 }
 
 struct GatewayState {
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -123,6 +123,7 @@
         self.longest_pause_ms = 0
         self.waited_ms = 0
         self.servers = []
+        self.tried = set()
         self.reasons = []
         self.status = 0
 
@@ -249,7 +250,7 @@
         """Send the request until it has an answer; return the outcome's word."""
         work = self.work()
         self.gateway.pool.note_arrival(work)
-        tried = set()
+        tried = self.tried
         failure = None
         while True:
             try:
@@ -402,12 +403,10 @@
         """Read the answer; return its head and the outcome."""
         started_ms = clock.now_ms()
         expected_ms = choice.load_ms
-        silence_ms = self.silence_ms()
         try:
-            reading = connection.read_head()
-            start_line, headers = await asyncio.wait_for(reading, silence_ms / 1000)
-        except asyncio.TimeoutError:
-            raise Unknown("silent", True) from None
+            start_line, headers = await self.unless_silent(
+                connection.read_head, self.head_silence_ms(), work
+            )
         except upstream.AnswerBroken as error:
             raise Unknown("broken", True) from error
         head = self.dialect.read_answer(start_line, headers)
@@ -417,21 +416,39 @@
             self.gateway.pool.first_answer(
                 choice.identity, work, elapsed_ms, expected_ms
             )
-            result = await self.take_success(connection, head)
+            result = await self.take_success(connection, head, work)
             self.gateway.pool.succeeded(choice.identity)
             self.note_pace(choice)
             return head, result
         return head, await self.take_failure(connection, choice, head)
 
-    def silence_ms(self):
-        """Return how long a server may be silent before another one is asked."""
-        left_ms = max(1.0, self.deadline_ms + LAST_ANSWER_MS - clock.now_ms())
+    async def unless_silent(self, read, silence_ms, work):
+        """Return what a server sends next.
+
+        Raises `Unknown` where the server is silent and the request can go on at
+        another one. Where it cannot, silence is no reason to end an answer.
+        """
+        while True:
+            try:
+                return await asyncio.wait_for(read(), silence_ms / 1000)
+            except asyncio.TimeoutError:
+                if self.can_move(work):
+                    raise Unknown("silent", True) from None
+
+    def can_move(self, work):
+        """Return whether the request may go on at another server that has room."""
         if not self.route.is_repeatable or self.runs >= self.route.max_servers:
-            return left_ms
+            return False
+        now_ms = clock.now_ms()
+        if not self.gateway.budget.has_room(self.service, now_ms):
+            return False
+        return self.gateway.pool.choose(work, self.tried, now_ms) is not None
+
+    def head_silence_ms(self):
+        """Return how long a server may be silent before it answers."""
         if self.route.kind is catalog.RouteKind.STREAM:
-            return min(left_ms, STREAM_SILENCE_MS)
-        patience_ms = max(MIN_SILENCE_MS, SILENCE_GOALS * self.route.goal_ms)
-        return min(left_ms, patience_ms)
+            return STREAM_SILENCE_MS
+        return max(MIN_SILENCE_MS, SILENCE_GOALS * self.route.goal_ms)
 
     def check_head(self, head):
         """Raise where an answer is not this request's, or says it did not run."""
@@ -460,10 +477,10 @@
 
     # Answers.
 
-    async def take_success(self, connection, head):
+    async def take_success(self, connection, head, work):
         """Pass a success on; return the outcome's word."""
         if self.route.kind is catalog.RouteKind.STREAM:
-            return await self.pass_stream(connection, head)
+            return await self.pass_stream(connection, head, work)
         try:
             body = await connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
         except upstream.AnswerBroken as error:
@@ -508,7 +525,7 @@
         token_ms = length_ms / events_after / engine.tokens_an_event
         self.gateway.pool.note_pace(choice.identity, token_ms)
 
-    async def pass_stream(self, connection, head):
+    async def pass_stream(self, connection, head, work):
         """Pass a stream on as it comes."""
         if self.cutter is None:
             self.cutter = events.EventCutter(self.call.resume_after)
@@ -516,7 +533,9 @@
             self.cutter.restart()
         try:
             while True:
-                chunk = await self.read_part(connection)
+                chunk = await self.unless_silent(
+                    connection.read_chunk, STREAM_SILENCE_MS, work
+                )
                 if chunk is None:
                     break
                 await self.pass_part(head, chunk)
@@ -529,16 +548,6 @@
         self.connection.finish()
         return "answered"
 
-    async def read_part(self, connection):
-        """Return the next part of a stream, or None at its end."""
-        reading = connection.read_chunk()
-        if not self.route.is_resumable or self.runs >= self.route.max_servers:
-            return await reading
-        try:
-            return await asyncio.wait_for(reading, STREAM_SILENCE_MS / 1000)
-        except asyncio.TimeoutError:
-            raise upstream.AnswerBroken("The stream is silent.") from None
-
     async def pass_part(self, head, chunk):
         """Write the events that are whole; nothing before the first one."""
         whole = self.cutter.feed(chunk)
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -98,7 +98,7 @@
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
         self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
-        self.allotments = allotments.Allotments(now_ms)
+        self.allotments = allotments.Allotments(now_ms, self.settings.allotment_slack)
         self.budget = retries.Budget(self.settings)
         self.connections = upstream.Connections()
         self.subscription = subscription.Subscription(hub, self)
@@ -252,14 +252,15 @@
 
     def take_gateways(self, update):
         """Take news of the other gateways."""
-        own = self.hub.settings.node.dialed_address
-        others = [
-            (name, address)
-            for name, address in zip(update.names, update.addresses, strict=True)
-            if address != own
-        ]
-        self.gossip.set_peers(address for _, address in others)
-        self.allotments.set_peers([name for name, _ in others], clock.now_ms())
+        node = self.hub.settings.node
+        told = zip(update.names, update.addresses, update.data_centres, strict=True)
+        others = []
+        for name, address, data_centre in told:
+            if address != node.dialed_address:
+                is_near = node.regions.get(data_centre, node.region) == node.region
+                others.append(gossip.Peer(name, address, is_near))
+        self.gossip.set_peers(others)
+        self.allotments.set_peers([peer.name for peer in others], clock.now_ms())
         self.budget.gateways = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
@@ -277,7 +278,7 @@
         self.allotments.hear(message.name, message.incarnation, spent, now_ms)
         self.start_turns()
 
-    def state(self, number):
+    def state(self, number, with_spent):
         """Return what this gateway tells the others."""
         shares = tuple(
             messages.ServerShare(
@@ -285,10 +286,12 @@
             )
             for identity, share in self.pool.own_shares().items()
         )
-        spent = tuple(
-            messages.Spent(workspace, amount)
-            for workspace, amount in self.allotments.spent.items()
-        )
+        spent = ()
+        if with_spent:
+            spent = tuple(
+                messages.Spent(workspace, amount)
+                for workspace, amount in self.allotments.spent.items()
+            )
         return messages.GatewayState(
             self.hub.name, self.hub.incarnation, number, shares, spent
         )
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -38,6 +38,7 @@
 
     name: str
     address: str
+    data_centre: str
     heard_ms: int
     link: object = None
     version: int = 0
@@ -110,7 +111,7 @@
 
     def link_up(self, link):
         """Show another control host what is known here."""
-        if link.name in self.control.replication.peers and self.directory.known:
+        if link.address and self.directory.known:
             link.send(self.whole_directory())
 
     def link_reset(self, link):
@@ -130,7 +131,9 @@
         now_ms = clock.now_ms()
         follower = self.followers.get(link.name)
         if follower is None or follower.link is not link:
-            follower = Follower(link.name, watch.address, now_ms, link)
+            follower = Follower(
+                link.name, watch.address, link.data_centre, now_ms, link
+            )
             self.followers[link.name] = follower
             self.log.info("publisher: A gateway follows.", peer=link.name)
             self.publish_gateways()
@@ -385,6 +388,7 @@
                 tuple(item.name for item in own),
                 tuple(item.address for item in own),
                 (),
+                tuple(item.data_centre for item in own),
             )
         )
         self.directory.forget(now_ms)
@@ -392,9 +396,12 @@
 
     def take_gateways(self, link, update):
         """Note which gateways follow another control host."""
+        if link.name in self.followers:
+            return
         now_ms = clock.now_ms()
-        for name, address in zip(update.names, update.addresses, strict=True):
-            self.remote[name] = Follower(name, address, now_ms)
+        told = zip(update.names, update.addresses, update.data_centres, strict=True)
+        for name, address, data_centre in told:
+            self.remote[name] = Follower(name, address, data_centre, now_ms)
         self.publish_gateways()
 
     def drop_lost(self, now_ms):
@@ -410,7 +417,8 @@
         merged = {**self.remote, **self.followers}
         names = tuple(sorted(merged))
         addresses = tuple(merged[name].address for name in names)
-        update = messages.Gateways(names, addresses, self.control_addresses())
+        centres = tuple(merged[name].data_centre for name in names)
+        update = messages.Gateways(names, addresses, self.control_addresses(), centres)
         if update != self.gateways:
             self.gateways = update
             self.send_followers(update)
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -157,16 +157,22 @@
     # Peers.
 
     def link_up(self, link):
-        """Remember the way to another control host.
+        """Remember the way to another control host that this one dialed."""
+        if link.address:
+            self.peers[link.name] = link
+
+    def note_peer(self, link):
+        """Remember the way to a control host that dialed this one.
 
-        A link that this host dialed goes before one that the other dialed.
+        Others than control hosts dial as well; only these speak of the log.
         """
         known = self.peers.get(link.name)
-        if link.address or known is None or not known.connected:
+        if known is None or not known.connected:
             self.peers[link.name] = link
 
     def receive(self, link, message):
         """Take a message of the replicated log."""
+        self.note_peer(link)
         if self.failed is None:
             self.replica.receive(link.name, message, clock.now_ms())
             self.wake.set()
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -150,7 +150,9 @@
     the platform asks whether they should. A removed key must be dead after
     `revoke_ms` where `fails_closed`. A stopped process has `grace_s` seconds. Second
     sendings to a service stay below `retry_ratio` of its requests and `retry_slack`
-    in any `retry_window_s` seconds, over all gateways.
+    in any `retry_window_s` seconds, over all gateways. What workspaces are let in
+    beyond their allotments, since counts are not exact, stays below
+    `allotment_slack` (in the allotment's unit).
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -162,6 +164,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
+    allotment_slack: float = 0.0
     max_held_bytes: int = 32 * 1024 * 1024
 
     @property
