Let two requests wait within an engine; send long answers to fast servers

Cause: a place that became free stood empty until other gateways heard of it; the longest answers did not end on slow servers before their callers left.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -20,13 +20,16 @@
 # how long a rank is remembered.
 KEPT_PART = 0.2
 RANK_LIFE_MS = 5000
+# Requests that may wait within an engine, so that its places do not stay empty until
+# all gateways have heard that one is free.
+ENGINE_QUEUE = 2
 # A plain server is given this many requests for each of its slots.
 PLAIN_DEPTH = 2.0
 # Prompt tokens an engine reads in a millisecond until its own speed is known.
 FIRST_TOKENS_PER_MS = 30.0
 # Prompts are sent to an engine as long as it has less than this to read, by its
 # own speed: enough to keep it busy across a round trip between regions.
-MAX_BACKLOG_MS = 120.0
+MAX_BACKLOG_MS = 200.0
 # Milliseconds that a token of output takes until the speed is known.
 FIRST_TOKEN_MS = 5.0
 SPEED_WEIGHT = 0.2
@@ -328,7 +331,7 @@
     def capacity(self, server):
         """Return how many requests a server is given at a time."""
         if self.engines.get(server.announcement.service) is not None:
-            return server.announcement.slots
+            return server.announcement.slots + ENGINE_QUEUE
         return server.announcement.slots * PLAIN_DEPTH
 
     def has_room(self, server, now_ms):
@@ -349,20 +352,27 @@
         return own + sum(share.input_tokens for share in others)
 
     def score(self, server, work, now_ms):
-        """Return the expected delay of a first answer, with what the way costs.
-
-        A server on which the answer would not end before its caller gives up comes
-        after all others.
-        """
+        """Return the expected delay of a first answer, with what the way costs."""
         delay_ms = self.load_ms(server, work, now_ms) * server.slowness
-        end_ms = now_ms + delay_ms + work.output_tokens * server.token_ms
-        if end_ms > work.give_up_ms:
-            delay_ms += HOPELESS_MS
+        delay_ms += self.length_risk_ms(server, work, now_ms + delay_ms)
         if server.silent:
             delay_ms += FAR_MS
         delay_ms *= 1.0 + 4.0 * server.failures
         return delay_ms + self.way_ms(server.announcement.data_centre)
 
+    def length_risk_ms(self, server, work, begin_ms):
+        """Return what the length of an answer adds to a server's score.
+
+        The more of the time that is left an answer takes, the likelier it does not
+        end in it: long answers go to fast servers, and a server on which one would
+        not end comes after all others.
+        """
+        length_ms = work.output_tokens * server.token_ms
+        left_ms = max(1.0, work.give_up_ms - begin_ms)
+        if length_ms > left_ms:
+            return HOPELESS_MS
+        return length_ms * length_ms / left_ms
+
     def load_ms(self, server, work, now_ms):
         """Return how long a first answer takes under a server's present load."""
         running = self.total_running(server, now_ms)
