--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -23,6 +23,13 @@
 # Requests that may wait within an engine, so that its places do not stay empty until
 # all gateways have heard that one is free.
 ENGINE_QUEUE = 2
+# The pace of starts is measured over the last two seconds; the part of it that is
+# left to a rank is never taken to be less than this.
+PACE_WINDOW_MS = 2000
+LEAST_PACE = 0.1
+# How long a request holds its place until that is known.
+FIRST_HOLD_MS = 300.0
+HOLD_WEIGHT = 0.05
 # A plain server is given this many requests for each of its slots.
 PLAIN_DEPTH = 2.0
 # Prompt tokens an engine reads in a millisecond until its own speed is known.
@@ -127,6 +134,10 @@
     ----------
     node : `settings.Node` of the process.
     regions : the region of each data centre.
+
+    Attributes
+    ----------
+    gateways : how many gateways send work to the same servers.
     """
 
     def __init__(self, node, regions):
@@ -138,6 +149,8 @@
         self.numbers = itertools.count()
         self.started_at = collections.deque()
         self.ranks = {}
+        self.holds = {}
+        self.gateways = 1
 
     # What is known of servers.
 
@@ -446,24 +459,34 @@
     def expected_wait_ms(self, work, now_ms):
         """Return how long a request that waits will wait, by the present pace.
 
-        The pace is that of starts of its rank and below: what is above goes first
-        however much of it comes.
+        The other gateways are taken to have as much waiting as this one. What is
+        above in rank goes first: the part of the places that it takes does not come
+        free for others.
         """
         ahead = sum(
             1
             for other, _ in self.waiting.values()
             if other.service == work.service and other.rank <= work.rank
         )
-        starts = sum(
+        if not ahead:
+            return 0.0
+        places, _ = self.places(work.service, now_ms)
+        turn_ms = self.hold_of(work.service) * self.gateways / max(1.0, places)
+        above = sum(
             1
             for when, service, rank in self.started_at
             if service == work.service
-            and rank >= work.rank
+            and rank < work.rank
             and when >= now_ms - PACE_WINDOW_MS
         )
-        return ahead * PACE_WINDOW_MS / max(MIN_PACE_STARTS, starts)
+        left = 1.0 - above * turn_ms / PACE_WINDOW_MS
+        return ahead * turn_ms / max(LEAST_PACE, left)
 
+    def hold_of(self, service):
+        """Return how long a request of a service holds its place."""
+        return self.holds.get(service, FIRST_HOLD_MS)
 
-# The pace of starts is measured over the last two seconds.
-PACE_WINDOW_MS = 2000
-MIN_PACE_STARTS = 1
+    def note_hold(self, service, hold_ms):
+        """Note how long a request has held its place."""
+        known = self.hold_of(service)
+        self.holds[service] = known + HOLD_WEIGHT * (hold_ms - known)
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -104,7 +104,9 @@
         for number in range(GATEWAYS):
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             node = settings.Node(f"g{number}", ("gateway",), REGIONS[centre], centre)
-            self.gateways.append(make_pool(node, REGIONS))
+            made = make_pool(node, REGIONS)
+            made.gateways = GATEWAYS
+            self.gateways.append(made)
         self.make_engines()
         for arrival in load.make_arrivals(random, kinds, phases, GATEWAYS):
             self.fates[arrival.identity] = Fate(arrival)
@@ -288,6 +290,7 @@
             fate.is_whole = True
             gateway.finish(identity, work)
             gateway.succeeded(identity)
+            gateway.note_hold(SERVICE, self.now_ms - fate.started_ms)
             if token.number > 2 * arrival.kind.stride:
                 length_ms = fate.last_ms - fate.first_ms
                 tokens = token.number - arrival.kind.stride
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -351,6 +351,7 @@
         connection = None
         idle_s = None
         is_kept = False
+        begun_ms = clock.now_ms()
         try:
             if server is None:
                 raise NotRun("server_left", False)
@@ -365,6 +366,7 @@
             is_kept = not head.is_last
             return result
         finally:
+            gateway.pool.note_hold(self.service, clock.now_ms() - begun_ms)
             gateway.release(choice.identity, work)
             if connection is not None:
                 if is_kept:
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -262,6 +262,7 @@
         self.gossip.set_peers(others)
         self.allotments.set_peers([peer.name for peer in others], clock.now_ms())
         self.budget.gateways = len(others) + 1
+        self.pool.gateways = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
     def take_state(self, message):
--- a/brasstrail/tools/cli.py
+++ b/brasstrail/tools/cli.py
@@ -15,7 +15,7 @@
 import brasstrail
 from brasstrail.core import errors
 from brasstrail.roles import access
-from brasstrail.tools import client
+from brasstrail.tools import client, logreader
 
 INDENTED = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
 SHELLS = ("bash", "zsh", "fish")
@@ -336,6 +336,34 @@
 # Helpers.
 
 
+@main.command()
+@click.option("--request", help="Follow the request of this id.")
+@click.option("--server", help="Follow the backend server of this identity.")
+@click.option("--version", "document", help="Follow the document of this version.")
+@click.argument("files", nargs=-1, required=True, type=click.File())
+def logs(request, server, document, files):
+    """Follow one request, server or document through the logs in FILES.
+
+    The lines of all hosts are put in order of their timestamps. With a request come
+    the last news that its process had of each server it was sent to.
+    """
+    lines = logreader.read(files)
+    if request:
+        found = logreader.follow_request(lines, request)
+    elif server:
+        found = logreader.follow_field(lines, "server", server)
+    elif document:
+        found = logreader.follow_field(lines, "version", document)
+    else:
+        raise click.UsageError("Name a --request, a --server or a --version.")
+    if not found:
+        raise errors.NotFound(
+            "No line speaks of it.", "Check the name and take the logs of all hosts."
+        )
+    for line in found:
+        click.echo(logreader.render(line))
+
+
 @main.command()
 def token():
     """Make a token and the hash that the settings keep of it."""
--- a/brasstrail/tools/pages.py
+++ b/brasstrail/tools/pages.py
@@ -23,6 +23,8 @@
     ("entry", settings.EntryRole),
     ("agent", settings.AgentRole),
     ("control", settings.ControlRole),
+    ("gateway", settings.GatewayRole),
+    ("metrics", settings.MetricsPage),
     ("auth.tokens", settings.Token),
     ("log", settings.Log),
     ("shaping", settings.Shaping),
