--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -25,6 +25,8 @@
 from brasstrail.tools import fuzzing
 
 TICK_MS = 50
+# The users' bound on the time that a replacement may take.
+CATCH_UP_MS = 4000
 SNAPSHOT_EVERY = 12
 WALK_EVENTS = 400
 # Each event of a random walk and how often it comes, relative to the others.
@@ -237,6 +239,17 @@
                 for _ in range(len(self.wires)):
                     self.deliver(0, keep=False)
 
+    def settle_reachable(self, rounds):
+        """Let time pass where some hosts do not exist any more."""
+        for _ in range(rounds):
+            self.pass_time()
+            for _ in range(3):
+                for wire in list(self.wires):
+                    if wire[1] in self.hosts:
+                        self.deliver(self.wires.index(wire), keep=False)
+                    else:
+                        self.wires.remove(wire)
+
     def heal(self):
         """End all faults."""
         self.cuts.clear()
@@ -672,6 +685,39 @@
         self.assertIn(newcomer, voters)
         self.assertEqual(learners, ())
 
+    def test_a_host_at_a_new_address_takes_the_vote_of_one_that_is_gone(self):
+        """A replacement is complete before another host may be lost."""
+        cluster = Cluster(3, 5)
+        cluster.settle(40)
+        for _ in range(5):
+            cluster.propose(cluster.leaders()[0])
+            cluster.settle(2)
+        gone = next(
+            host for host in cluster.hosts.values() if not host.replica.raft.is_leader
+        )
+        del cluster.hosts[gone.name]
+        cluster.wires = [wire for wire in cluster.wires if gone.name not in wire[:2]]
+        newcomer = Host("c9", (), "5c9")
+        newcomer.start(cluster.now_ms)
+        newcomer.replica.known = tuple(cluster.hosts)
+        cluster.hosts["c9"] = newcomer
+        begin_ms = cluster.now_ms
+        while cluster.now_ms - begin_ms < CATCH_UP_MS:
+            cluster.settle_reachable(1)
+        leader = cluster.leaders()[0].replica.raft
+        names = {voter.name for voter in leader.log.voters}
+        self.assertEqual(names, set(cluster.hosts))
+        self.assertEqual(newcomer.applied, cluster.leaders()[0].applied)
+
+    def test_a_blank_host_that_may_not_found_founds_nothing(self):
+        cluster = Cluster(3, 1)
+        for host in cluster.hosts.values():
+            host.hosts = ()
+            host.start(0)
+            host.replica.known = tuple(cluster.hosts)
+        cluster.settle(60)
+        self.assertEqual(cluster.leaders(), [])
+
     def test_cluster_is_founded_only_by_all_its_first_hosts(self):
         stored = replica.Stored(
             snapshots.Identity("a", "d"), snapshots.HardState(0, "")
--- /dev/null
+++ b/brasstrail/roles/publisher_test.py
@@ -0,0 +1,191 @@
+"""Tests of control hosts and gateways together, in one process on loopback."""
+
+import asyncio
+import pathlib
+import tempfile
+import unittest
+
+import orjson
+import structlog
+from tornado import httpclient
+
+from brasstrail.core import servers
+from brasstrail.protocol import messages
+from brasstrail.roles import daemon, publisher
+from brasstrail.settings import settings
+from brasstrail.tools import ports
+
+PORTS = ports.Ports()
+SECRET = "a-secret-of-16-letters"
+DOCUMENT = {
+    "version": 4,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/a/",
+            "type": "idempotent",
+            "timeout_ms": 1000,
+            "service": "s",
+        }
+    ],
+    "services": [{"name": "s", "max_conns": 9}],
+}
+
+
+def drop_line(logger, method, event):
+    """Write no log in tests."""
+    raise structlog.DropEvent
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    for _ in range(4000):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("It did not come to hold.")
+
+
+class TogetherTest(unittest.IsolatedAsyncioTestCase):
+    """Three control hosts and two gateways."""
+
+    async def asyncSetUp(self):
+        holder = tempfile.TemporaryDirectory()
+        self.addCleanup(holder.cleanup)
+        self.folder = pathlib.Path(holder.name)
+        self.log = structlog.wrap_logger(None, processors=[drop_line])
+        self.peers = [f"127.0.0.1:{PORTS.take()}" for _ in range(3)]
+        self.controls = [await self.start(self.control(peer)) for peer in self.peers]
+        self.gateways = [await self.start(self.gateway(name)) for name in ("g1", "g2")]
+        await until(self.is_settled)
+
+    def is_settled(self):
+        return all(
+            gateway.gateway.budget.gateways == 2
+            and gateway.gateway.subscription.renewed_ms is not None
+            for gateway in self.gateways
+        ) and all(control.publisher.is_confirmed for control in self.controls)
+
+    async def start(self, loaded):
+        started = daemon.Daemon(loaded, self.log)
+        await started.start_all()
+        self.addCleanup(started.stack.close)
+        return started
+
+    def control(self, peer):
+        port = int(peer.rpartition(":")[2])
+        return settings.Settings(
+            settings.Node(peer, ("control",), "one", "east", peer_port=port),
+            settings.Cluster("c", SECRET, tuple(self.peers)),
+            control=settings.ControlRole(
+                data_folder=str(self.folder / str(port)),
+                admin_port=0,
+                seeds_found=True,
+                document_address=f"127.0.0.1:{PORTS.take()}",
+            ),
+        )
+
+    def gateway(self, name):
+        return settings.Settings(
+            settings.Node(name, ("gateway",), "one", "east", peer_port=PORTS.take()),
+            settings.Cluster("c", SECRET, tuple(self.peers)),
+            gateway=settings.GatewayRole(
+                f"127.0.0.1:{PORTS.take()}", f"127.0.0.1:{PORTS.take()}"
+            ),
+        )
+
+    async def call(self, control, method, path, body=None):
+        address = control.settings.control.document_address
+        request = httpclient.HTTPRequest(
+            f"http://{address}{path}", method=method, body=body
+        )
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        self.addCleanup(client.close)
+        return await client.fetch(request, raise_error=False)
+
+    async def test_a_document_is_acknowledged_read_everywhere_and_in_force(self):
+        body = orjson.dumps(DOCUMENT)
+        reply = await self.call(self.controls[1], "PUT", "/v1/configuration", body)
+        self.assertEqual(reply.code, 200)
+        for control in self.controls:
+            reply = await self.call(control, "GET", "/v1/configuration")
+            self.assertEqual((reply.code, reply.body), (200, body))
+        await until(
+            lambda: all(each.gateway.document_version == 4 for each in self.gateways)
+        )
+        other = orjson.dumps({**DOCUMENT, "routes": []})
+        reply = await self.call(self.controls[0], "PUT", "/v1/configuration", other)
+        self.assertEqual(reply.code, 200)
+        reply = await self.call(self.controls[2], "GET", "/v1/configuration")
+        self.assertEqual(reply.body, body)
+        reply = await self.call(
+            self.controls[0], "PUT", "/v1/configuration", b'{"version": 9, "routes": 1}'
+        )
+        self.assertEqual(reply.code, 422)
+
+    async def test_every_gateway_hears_of_all_others(self):
+        for _ in range(30):
+            counts = {each.gateway.budget.gateways for each in self.gateways}
+            self.assertEqual(counts, {2})
+            peers = [each.gateway.gossip.near.addresses for each in self.gateways]
+            self.assertEqual([len(addresses) for addresses in peers], [1, 1])
+            await asyncio.sleep(0.1)
+
+    async def test_an_announcement_reaches_every_gateway(self):
+        said = {
+            "service": "s",
+            "address": "127.0.0.1:9",
+            "zone": "east",
+            "slots": 2,
+            "state": "ready",
+            "sequence": 1,
+            "born": 5,
+        }
+        path = "/v1/instances/i-1"
+        reply = await self.call(self.controls[0], "PUT", path, orjson.dumps(said))
+        self.assertEqual(reply.code, 200)
+        await until(
+            lambda: all("i-1" in each.gateway.pool.servers for each in self.gateways)
+        )
+        said.update(state="draining", sequence=2)
+        await self.call(self.controls[2], "PUT", path, orjson.dumps(said))
+        await until(
+            lambda: (
+                not any(each.gateway.pool.has_servers("s") for each in self.gateways)
+            )
+        )
+        reply = await self.call(self.controls[0], "PUT", path, b'{"service": 3}')
+        self.assertEqual(reply.code, 400)
+
+    async def test_a_host_without_quorum_vouches_for_nothing(self):
+        body = orjson.dumps(DOCUMENT)
+        await self.call(self.controls[0], "PUT", "/v1/configuration", body)
+        for control in self.controls[1:]:
+            control.stack.close()
+        await until(lambda: not self.controls[0].publisher.is_confirmed)
+        reply = await self.call(self.controls[0], "GET", "/v1/configuration")
+        self.assertEqual(reply.code, 503)
+        with self.assertRaises(publisher.errors.NoQuorum):
+            self.controls[0].publisher.announce(make_announcement("i-2"))
+        renewed = self.gateways[0].gateway.subscription.renewed_ms
+        await asyncio.sleep(1.0)
+        self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
+
+    async def test_a_leaving_server_that_is_silent_is_not_ready(self):
+        control = self.controls[0].publisher
+        leaving = make_announcement("i-3", servers.ServerPhase.LEAVING)
+        control.learn(leaving, 0, False)
+        control.note_silence(10**9)
+        (record,) = control.whole_directory().records
+        self.assertEqual(record.phase, "leaving")
+        self.assertIsInstance(record, messages.ServerRecord)
+
+
+def make_announcement(identity, phase=servers.ServerPhase.READY):
+    """Return an announcement."""
+    return servers.Announcement(identity, "s", "127.0.0.1:9", "east", phase, 1, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/state/journal_test.py
+++ b/brasstrail/state/journal_test.py
@@ -14,6 +14,8 @@
 from brasstrail.state import files, journal
 from brasstrail.tools import fuzzing
 
+SECTOR_BYTES = 512
+
 
 def make_ready(entries=(), hard_state=None, snapshot=None):
     """Return a `Ready` with only its durable part."""
@@ -181,6 +183,69 @@
             found = [entry.command for entry in loaded.entries]
             self.assertEqual(found, commands[: len(found)])
 
+    @settings(fuzzing.SETTINGS, max_examples=200)
+    @given(st.data())
+    def test_power_loss_keeps_what_was_synced_and_never_a_part_of_a_batch(self, draw):
+        """Each sector of the last write is kept, lost or torn by itself."""
+        with tempfile.TemporaryDirectory() as holder:
+            self.folder = pathlib.Path(holder) / "data"
+            synced = draw.draw(st.integers(0, 3))
+            batches = [[make_entry(index + 1)] for index in range(synced)]
+            count = draw.draw(st.integers(1, 4))
+            sizes = st.integers(1, 3000)
+            last = [
+                make_entry(synced + 1 + place, command=b"y" * draw.draw(sizes))
+                for place in range(count)
+            ]
+            opened = self.open()
+            opened.load()
+            for batch in batches:
+                opened.persist(make_ready(batch))
+            path = self.last_segment()
+            kept = path.stat().st_size
+            opened.persist(make_ready(last, snapshots.HardState(9, "c1/d")))
+            opened.close()
+            chunk = bytearray(path.read_bytes())
+            for begin in range(kept, len(chunk), SECTOR_BYTES):
+                self.damage(chunk, begin, draw)
+            del chunk[draw.draw(st.integers(kept, len(chunk))) :]
+            path.write_bytes(bytes(chunk))
+            opened = self.open()
+            loaded = opened.load()
+            opened.close()
+            self.assertIn(len(loaded.entries), (synced, synced + count))
+            again = self.open()
+            self.assertEqual(again.load().entries, loaded.entries)
+            again.close()
+
+    def damage(self, chunk, begin, draw):
+        """Keep, lose or tear one sector."""
+        end = min(begin + SECTOR_BYTES, len(chunk))
+        fate = draw.draw(st.sampled_from(("kept", "lost", "torn")))
+        if fate == "lost":
+            chunk[begin:end] = bytes(end - begin)
+        elif fate == "torn":
+            middle = draw.draw(st.integers(begin, end))
+            chunk[middle:end] = bytes(end - middle)
+
+    def test_a_batch_that_the_disk_refused_is_written_again(self):
+        opened = self.open(FullDisk(300))
+        opened.load()
+        batch = make_ready([make_entry(1, command=b"z" * 400)])
+        with self.assertRaises(errors.DiskFailed):
+            opened.persist(batch)
+        opened.disk = files.Files()
+        opened.open_segment(opened.segment_number + 1)
+        opened.persist(batch)
+        opened.close()
+        loaded = self.open().load()
+        self.assertEqual([entry.index for entry in loaded.entries], [1])
+
+    def test_a_record_missing_between_others_is_an_error(self):
+        self.write(make_ready([make_entry(1)]), make_ready([make_entry(3)]))
+        with self.assertRaises(errors.CorruptFile):
+            self.open().load()
+
 
 if __name__ == "__main__":
     unittest.main()
