--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -51,6 +51,8 @@
         heard, and not even that where its start is over.
         """
         held = self.known.get(announcement.identity)
+        if announcement.phase is servers.ServerPhase.GONE:
+            return self.take_end(announcement, heard_ms)
         if held is not None and announcement.order < held.announcement.order:
             return False
         if held is not None and announcement.order == held.announcement.order:
@@ -68,6 +70,25 @@
         self.put(announcement, heard_ms)
         return held is None or differs(held.announcement, announcement)
 
+    def take_end(self, announcement, heard_ms):
+        """Take the word that a server is gone; return whether that is new.
+
+        A word without the start that it speaks of (`born_ms` 0) ends whatever start
+        is known. Of a server that is not known it is remembered, so that a late
+        announcement does not bring it back.
+        """
+        held = self.known.get(announcement.identity)
+        if held is None:
+            self.known[announcement.identity] = Known(announcement, heard_ms)
+            return True
+        is_later = held.announcement.born_ms > announcement.born_ms
+        if is_later and announcement.born_ms:
+            return False
+        if held.phase is servers.ServerPhase.GONE:
+            return False
+        self.end(announcement.identity)
+        return True
+
     def hear_again(self, held, heard_ms):
         """Note that a server was heard through another control host."""
         if heard_ms > held.heard_ms:
@@ -111,18 +132,25 @@
         return now_ms - known.heard_ms > SILENT_BEATS * self.interval_ms
 
     def forget(self, now_ms):
-        """Forget what was last heard long ago; return the identities."""
+        """Forget what was last heard long ago; return it as it was known."""
         old = [
-            identity
-            for identity, known in self.known.items()
+            known
+            for known in self.known.values()
             if now_ms - known.heard_ms > FORGET_MS
         ]
-        for identity in old:
-            address = self.known.pop(identity).announcement.address
-            if self.by_address.get(address) == identity:
-                del self.by_address[address]
+        for known in old:
+            self.drop(known.announcement.identity)
         return old
 
+    def drop(self, identity):
+        """Forget a server."""
+        known = self.known.pop(identity, None)
+        if known is None:
+            return
+        address = known.announcement.address
+        if self.by_address.get(address) == identity:
+            del self.by_address[address]
+
     def serving(self, service):
         """Return the servers of a service that take new work."""
         return [
--- a/brasstrail/coordination/directory_test.py
+++ b/brasstrail/coordination/directory_test.py
@@ -61,6 +61,22 @@
             ["b"],
         )
 
+    def test_the_end_of_a_server_that_is_not_known_is_remembered(self):
+        self.assertTrue(self.directory.take(announce(phase=GONE, sequence=0), 0))
+        self.assertFalse(self.directory.take(announce(sequence=4), 10))
+        self.assertIs(self.phase(), GONE)
+
+    def test_an_end_without_its_start_ends_what_is_known(self):
+        self.directory.take(announce(sequence=3), 0)
+        end = announce(address="", phase=GONE, born_ms=0, sequence=0)
+        self.assertTrue(self.directory.take(end, 10))
+        self.assertIs(self.phase(), GONE)
+
+    def test_a_late_end_of_an_earlier_start_ends_nothing(self):
+        self.directory.take(announce(born_ms=20), 0)
+        self.assertFalse(self.directory.take(announce(phase=GONE, born_ms=10), 10))
+        self.assertIs(self.phase(), READY)
+
     def test_what_is_forgotten_may_come_again(self):
         self.directory.take(announce(), 0)
         self.directory.forget(directory.FORGET_MS + 1)
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -18,7 +18,7 @@
 
 # The part of the places that is kept from the lowest rank for those above it, and
 # how long a rank is remembered.
-KEPT_PART = 0.2
+KEPT_PART = 0.55
 RANK_LIFE_MS = 5000
 # Requests that may wait within an engine, so that its places do not stay empty until
 # all gateways have heard that one is free.
@@ -287,8 +287,8 @@
         """Return whether places are left for a request of its rank.
 
         The lower a rank, the more places it leaves to those above it, so that
-        long work of low rank does not hold every place when they come. A rank that
-        has not asked lately is left nothing.
+        long work of low rank does not hold every place when they come; the middle
+        ranks leave little. A rank that has not asked lately is left nothing.
         """
         asking = sorted(
             rank
@@ -298,7 +298,8 @@
         above = sum(rank < work.rank for rank in asking)
         if not above:
             return True
-        part = 1.0 - KEPT_PART * above / max(1, len(asking) - 1)
+        depth = above / max(1, len(asking) - 1)
+        part = 1.0 - KEPT_PART * depth * depth
         places, taken = self.places(work.service, now_ms)
         return taken < part * places
 
--- a/brasstrail/coordination/retries.py
+++ b/brasstrail/coordination/retries.py
@@ -30,7 +30,7 @@
 
     def note_request(self, service, now_ms):
         """Count a request for a service."""
-        self.requests[service].append(now_ms)
+        self.recent(self.requests[service], now_ms).append(now_ms)
 
     def take(self, service, now_ms):
         """Count a second sending if there is room; return whether there was."""
--- a/brasstrail/coordination/retries_test.py
+++ b/brasstrail/coordination/retries_test.py
@@ -39,6 +39,12 @@
             taken += 1
         self.assertLess(taken, OPTIONS.retry_slack / 4)
 
+    def test_requests_of_long_ago_are_not_kept(self):
+        budget = retries.Budget(OPTIONS)
+        for now_ms in range(0, 10 * WINDOW_MS, 100):
+            budget.note_request("s", now_ms)
+        self.assertLessEqual(len(budget.requests["s"]), WINDOW_MS / 100)
+
     def test_the_budget_comes_back_with_time(self):
         budget = retries.Budget(OPTIONS)
         while budget.take("s", 0):
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -226,9 +226,9 @@
             self.take_server(record)
         if update.complete:
             named = {record.identity for record in update.records}
-            for identity in set(self.pool.servers) - named:
+            for identity in set(self.directory.known) - named:
+                self.directory.drop(identity)
                 self.pool.remove_server(identity)
-        self.directory.forget(clock.now_ms())
         self.start_turns()
 
     def take_server(self, record):
--- a/brasstrail/roles/logs.py
+++ b/brasstrail/roles/logs.py
@@ -5,6 +5,7 @@
 their own.
 """
 
+import datetime
 import logging
 import os
 import sys
@@ -27,13 +28,15 @@
     ----------
     descriptor : the file descriptor.
     lines_a_second : the steady rate.
+    render : turns a mapping into a line.
 
     Attributes
     ----------
     left_out : how many lines were left out since the last line that says so.
     """
 
-    def __init__(self, descriptor, lines_a_second):
+    def __init__(self, descriptor, lines_a_second, render):
+        self.render = render
         self.descriptor = descriptor
         self.rate = lines_a_second
         self.burst = lines_a_second * BURST_S
@@ -47,12 +50,22 @@
             self.left_out += 1
             return
         if self.left_out:
-            self.write(f"log: Lines were left out. count={self.left_out}\n")
+            self.write(self.left_out_line() + "\n")
             self.left_out = 0
         self.write(line + "\n")
 
     log = debug = info = warning = error = critical = msg
 
+    def left_out_line(self):
+        """Return the line that counts what was left out."""
+        table = {
+            "timestamp": datetime.datetime.now(datetime.UTC).isoformat(),
+            "level": "warning",
+            "event": "log: Lines were left out.",
+            "count": self.left_out,
+        }
+        return self.render(None, "warning", table)
+
     def take_room(self):
         """Take the room of a line; return whether there was some."""
         now_ms = clock.now_ms()
@@ -77,12 +90,13 @@
     descriptor = STREAMS[settings.log.output].fileno()
     if not os.isatty(descriptor):
         os.set_blocking(descriptor, False)
-    output = BoundedOutput(descriptor, settings.log.lines_a_second)
+    renderer = make_renderer(settings.log.format)
+    output = BoundedOutput(descriptor, settings.log.lines_a_second, renderer)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            make_renderer(settings.log.format),
+            renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             LEVELS[settings.log.level.upper()]
@@ -97,5 +111,5 @@
     if form == "json":
         return structlog.processors.JSONRenderer()
     return structlog.processors.LogfmtRenderer(
-        key_order=["timestamp", "level", "node", "event"]
+        key_order=["timestamp", "level", "node", "event"], drop_missing=True
     )
--- /dev/null
+++ b/brasstrail/roles/logs_test.py
@@ -0,0 +1,43 @@
+"""Tests of the log: bounded, counted, never blocking."""
+
+import json
+import os
+import unittest
+
+from brasstrail.roles import logs
+
+
+class BoundTest(unittest.TestCase):
+    """Lines beyond the rate, and a reader that takes nothing."""
+
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        os.set_blocking(self.writer, False)
+
+    def make(self, rate):
+        return logs.BoundedOutput(self.writer, rate, logs.make_renderer("json"))
+
+    def test_lines_beyond_the_rate_are_counted_in_a_line_of_the_same_form(self):
+        output = self.make(2)
+        for number in range(20):
+            output.msg(json.dumps({"number": number}))
+        left_out = output.left_out
+        self.assertEqual(left_out, 20 - 2 * logs.BURST_S)
+        output.room = 2.0
+        output.msg("{}")
+        lines = os.read(self.reader, 65536).decode().splitlines()
+        counted = json.loads(lines[-2])
+        self.assertEqual(counted["count"], left_out)
+        self.assertEqual(counted["event"], "log: Lines were left out.")
+
+    def test_a_reader_that_takes_nothing_blocks_nobody(self):
+        output = self.make(10**6)
+        for _ in range(3000):
+            output.msg("x" * 200)
+        self.assertGreater(output.left_out, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -282,14 +282,10 @@
                 "This control host does not reach the quorum.",
                 "Announce to another control host.",
             )
-        held = self.directory.known.get(identity)
-        if held is None:
-            return
-        if born_ms is not None and held.announcement.born_ms > born_ms:
-            return
-        ended = self.directory.end(identity)
-        self.log_server(ended, 0)
-        self.pass_on(ended, 0, to_peers=True)
+        ended = servers.Announcement(
+            identity, "", "", "", servers.ServerPhase.GONE, born_ms or 0, 0
+        )
+        self.learn(ended, clock.now_ms(), to_peers=True)
 
     def learn(self, announcement, heard_ms, to_peers):
         """Take what was heard; pass on what is new."""
@@ -391,7 +387,11 @@
                 tuple(item.data_centre for item in own),
             )
         )
-        self.directory.forget(now_ms)
+        for known in self.directory.forget(now_ms):
+            ended = dataclasses.replace(
+                known.announcement, phase=servers.ServerPhase.GONE
+            )
+            self.pass_on(ended, now_ms - known.heard_ms, to_peers=False)
         self.silent &= set(self.directory.known)
 
     def take_gateways(self, link, update):
