--- a/brasstrail/platform/operators.py
+++ b/brasstrail/platform/operators.py
@@ -71,7 +71,9 @@
     def put(self, identity):
         """Take an announcement."""
         try:
-            self.publisher.announce(announcements.decode(identity, self.request.body))
+            self.publisher.registry.announce(
+                announcements.decode(identity, self.request.body)
+            )
         except errors.BrasstrailError as error:
             self.refuse(error)
             return
@@ -81,7 +83,7 @@
         """Take a server's last word."""
         try:
             born_ms = announcements.decode_withdrawal(self.request.body)
-            self.publisher.withdraw(identity, born_ms)
+            self.publisher.registry.withdraw(identity, born_ms)
         except errors.BrasstrailError as error:
             self.refuse(error)
             return
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -12,9 +12,9 @@
 from tornado import httpserver, httputil, ioloop
 
 from brasstrail.coordination import allotments, directory, pool, retries
-from brasstrail.core import clock, errors, servers
+from brasstrail.core import catalog, clock, errors, servers
 from brasstrail.protocol import dialects, messages
-from brasstrail.roles import forwarding, gossip, metrics, publisher, subscription
+from brasstrail.roles import forwarding, gossip, metrics, registry, subscription
 from brasstrail.state import documents
 from brasstrail.transport import upstream
 
@@ -116,7 +116,7 @@
 
     async def start(self):
         """Listen for callers and begin to follow a control host."""
-        limits = forwarding.DEFAULT_LIMITS
+        limits = catalog.CallerLimits()
         self.http = httpserver.HTTPServer(
             Callers(self),
             max_header_size=max(DEFAULT_HEADER_BYTES, limits.max_header_bytes),
@@ -233,10 +233,10 @@
 
     def take_server(self, record):
         """Take news of one server, unless later news has come before."""
-        announcement = publisher.to_announcement(record)
+        announcement = registry.to_announcement(record)
         is_silent = announcement.phase is servers.ServerPhase.SILENT
         if is_silent:
-            announcement = publisher.as_ready(announcement)
+            announcement = registry.as_ready(announcement)
         self.directory.take(announcement, clock.now_ms() - record.age_ms)
         known = self.directory.known[record.identity].announcement
         self.log.info(
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -10,7 +10,7 @@
 from brasstrail.core import clock
 from brasstrail.fakes import scripted
 from brasstrail.protocol import messages
-from brasstrail.roles import forwarding, gateway, hub, metrics
+from brasstrail.roles import gateway, hub, metrics, sending
 from brasstrail.settings import settings
 from brasstrail.state import documents
 from brasstrail.tools import ports
@@ -370,7 +370,7 @@
         self.assertEqual(second.requests, [])
 
     async def test_silence_ends_no_answer_that_cannot_go_on_elsewhere(self):
-        pause_s = forwarding.STREAM_SILENCE_MS / 1000 + 0.3
+        pause_s = sending.STREAM_SILENCE_MS / 1000 + 0.3
         slow = scripted.stream(EVENTS[:2], pause_s=pause_s)
         (server,) = await self.serve([slow])
         status, _, body = await self.call("resumed")
@@ -378,7 +378,7 @@
         self.assertEqual(len(server.requests), 1)
 
     async def test_a_silent_server_is_left_where_another_has_room(self):
-        pause_s = forwarding.STREAM_SILENCE_MS / 1000 + 60
+        pause_s = sending.STREAM_SILENCE_MS / 1000 + 60
         first, second = await self.serve(
             [scripted.stream(EVENTS, pause_s=pause_s)], [scripted.stream(EVENTS[1:])]
         )
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -1,13 +1,13 @@
-"""Serves gateways: the operators' document, the known servers, the lease.
+"""Serves gateways: the operators' document, the lease, the list of gateways.
 
 A gateway follows one control host. Its beats are confirmed once the leader has
 shown, in a round that began after the beat arrived, that a quorum knows of no
 newer document, and that document has been sent to the gateway. A control host
 that is cut off from the quorum confirms nothing, and its gateways move on.
 
-Control hosts tell one another what backend servers announce to them and which
-gateways follow them. Neither is replicated in the log: both are heard again
-within seconds after all is lost.
+Control hosts tell one another which gateways follow them. That is not replicated in
+the log: it is heard again within seconds after all is lost. What backend servers
+announce is kept by a `registry`.
 """
 
 import asyncio
@@ -15,9 +15,9 @@
 
 from tornado import ioloop
 
-from brasstrail.coordination import directory
-from brasstrail.core import clock, errors, servers
+from brasstrail.core import clock, errors
 from brasstrail.protocol import codec, commands, messages
+from brasstrail.roles import registry
 from brasstrail.state import documents
 
 TICK_MS = 100
@@ -53,7 +53,7 @@
 
 
 class Publisher:
-    """The part of the control role that serves gateways and announcements.
+    """The part of the control role that serves gateways.
 
     Parameters
     ----------
@@ -65,17 +65,14 @@
         self.hub = hub
         self.log = hub.log
         self.control = control
-        self.directory = directory.Directory(hub.settings.control.announce_interval_ms)
-        self.silent = set()
+        self.registry = registry.Registry(hub, self)
         self.followers = {}
         self.remote = {}
         self.beats = []
         self.confirmed_ms = None
-        self.started_ms = clock.now_ms()
         self.next_confirm_ms = 0
         self.next_share_ms = 0
         self.confirming = False
-        self.shared_ms = 0
         self.gateways = None
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
         hub.handlers.append(self)
@@ -101,18 +98,12 @@
             return False
         return clock.now_ms() - self.confirmed_ms <= CONFIRMED_FOR_MS
 
-    @property
-    def is_complete(self):
-        """Whether every server that is alive has been heard since the start."""
-        listened_ms = clock.now_ms() - self.started_ms
-        return listened_ms > directory.SILENT_BEATS * self.directory.interval_ms
-
     # Links.
 
     def link_up(self, link):
         """Show another control host what is known here."""
-        if link.address and self.directory.known:
-            link.send(self.whole_directory())
+        if link.address:
+            self.registry.show(link)
 
     def link_reset(self, link):
         """Forget a gateway that lost its session; it will follow again."""
@@ -140,7 +131,7 @@
         follower.heard_ms = now_ms
         follower.version = watch.document_version
         if watch.needs_directory:
-            link.send(self.whole_directory())
+            link.send(self.registry.whole())
             link.send(self.gateways)
         self.beats.append(Beat(follower, watch.beat_id))
 
@@ -154,8 +145,9 @@
         if now_ms >= self.next_share_ms:
             self.next_share_ms = now_ms + SHARE_INTERVAL_MS
             self.share(now_ms)
+            self.registry.share(now_ms)
             self.drop_lost(now_ms)
-        self.note_silence(now_ms)
+        self.registry.note_silence(now_ms)
 
     def start_confirming(self, now_ms):
         """Ask the quorum, unless that is under way."""
@@ -258,71 +250,13 @@
             return None
         return documents.unpack(self.document.packed)
 
-    # Backend servers.
-
-    def announce(self, announcement):
-        """Take a server's announcement and pass on what is new in it.
-
-        Raises `errors.NoQuorum` where this host could not pass it on.
-        """
-        if not self.is_confirmed:
-            raise errors.NoQuorum(
-                "This control host does not reach the quorum.",
-                "Announce to another control host.",
-            )
-        self.learn(announcement, clock.now_ms(), to_peers=True)
-
-    def withdraw(self, identity, born_ms):
-        """Take a server's last word.
-
-        `born_ms` is the start that it speaks of, or None where it does not say.
-        """
+    def check_confirmed(self):
+        """Raise `errors.NoQuorum` where this host could pass nothing on."""
         if not self.is_confirmed:
             raise errors.NoQuorum(
                 "This control host does not reach the quorum.",
                 "Announce to another control host.",
             )
-        ended = servers.Announcement(
-            identity, "", "", "", servers.ServerPhase.GONE, born_ms or 0, 0
-        )
-        self.learn(ended, clock.now_ms(), to_peers=True)
-
-    def learn(self, announcement, heard_ms, to_peers):
-        """Take what was heard; pass on what is new."""
-        changed = self.directory.take(announcement, heard_ms)
-        if announcement.identity in self.silent and self.is_heard(announcement):
-            self.silent.discard(announcement.identity)
-            changed = True
-        if changed:
-            age_ms = clock.now_ms() - heard_ms
-            self.log_server(announcement, age_ms)
-            self.pass_on(announcement, age_ms, to_peers)
-
-    def is_heard(self, announcement):
-        """Return whether a server is not silent any more."""
-        known = self.directory.known.get(announcement.identity)
-        return known is not None and not self.directory.is_silent(known, clock.now_ms())
-
-    def log_server(self, announcement, age_ms):
-        """Log a change of what is believed of a server."""
-        self.log.info(
-            "publisher: A server changed.",
-            server=announcement.identity,
-            service=announcement.service,
-            address=announcement.address,
-            phase=str(announcement.phase),
-            born=announcement.born_ms,
-            sequence=announcement.sequence,
-            age_ms=age_ms,
-        )
-
-    def pass_on(self, announcement, age_ms, to_peers):
-        """Send what changed to the gateways, and to the other control hosts."""
-        record = to_record(announcement, age_ms)
-        update = messages.Directory(False, (record,))
-        self.send_followers(update)
-        if to_peers:
-            self.send_peers(update)
 
     def send_followers(self, message):
         """Send a message to the gateways that follow this host."""
@@ -336,48 +270,10 @@
             if link.connected:
                 link.send(message)
 
-    def take_directory(self, link, update):
-        """Take what another control host has heard."""
-        now_ms = clock.now_ms()
-        for record in update.records:
-            self.learn(to_announcement(record), now_ms - record.age_ms, False)
-
-    def whole_directory(self):
-        """Return all that is known, as a message."""
-        now_ms = clock.now_ms()
-        records = []
-        for identity, known in self.directory.known.items():
-            record = to_record(known.announcement, now_ms - known.heard_ms)
-            if identity in self.silent and record.phase == servers.ServerPhase.READY:
-                record = dataclasses.replace(record, phase=servers.ServerPhase.SILENT)
-            records.append(record)
-        return messages.Directory(self.is_complete, tuple(records))
-
-    def note_silence(self, now_ms):
-        """Tell the gateways of servers that have fallen silent."""
-        for identity, known in self.directory.known.items():
-            if identity in self.silent or known.phase is not servers.ServerPhase.READY:
-                continue
-            if self.directory.is_silent(known, now_ms):
-                self.silent.add(identity)
-                quiet = dataclasses.replace(
-                    known.announcement, phase=servers.ServerPhase.SILENT
-                )
-                self.log_server(quiet, now_ms - known.heard_ms)
-                self.pass_on(quiet, now_ms - known.heard_ms, to_peers=False)
-
     # What control hosts tell one another.
 
     def share(self, now_ms):
-        """Tell the other control hosts who was heard here lately."""
-        heard = [
-            to_record(known.announcement, now_ms - known.heard_ms)
-            for known in self.directory.known.values()
-            if known.heard_ms > self.shared_ms
-        ]
-        self.shared_ms = now_ms
-        if heard:
-            self.send_peers(messages.Directory(False, tuple(heard)))
+        """Tell the other control hosts which gateways follow this one."""
         own = self.followers.values()
         self.send_peers(
             messages.Gateways(
@@ -387,12 +283,6 @@
                 tuple(item.data_centre for item in own),
             )
         )
-        for known in self.directory.forget(now_ms):
-            ended = dataclasses.replace(
-                known.announcement, phase=servers.ServerPhase.GONE
-            )
-            self.pass_on(ended, now_ms - known.heard_ms, to_peers=False)
-        self.silent &= set(self.directory.known)
 
     def take_gateways(self, link, update):
         """Note which gateways follow another control host."""
@@ -432,44 +322,7 @@
         return tuple(sorted(host for host in hosts if ":" in host))
 
 
-def to_record(announcement, age_ms):
-    """Return an announcement in the form in which it travels."""
-    return messages.ServerRecord(
-        announcement.identity,
-        announcement.service,
-        announcement.address,
-        announcement.data_centre,
-        str(announcement.phase),
-        announcement.born_ms,
-        announcement.sequence,
-        announcement.slots,
-        announcement.cold_ms,
-        age_ms,
-    )
-
-
-def to_announcement(record):
-    """Return the announcement that a record holds."""
-    return servers.Announcement(
-        record.identity,
-        record.service,
-        record.address,
-        record.data_centre,
-        servers.ServerPhase(record.phase),
-        record.born_ms,
-        record.sequence,
-        record.slots,
-        record.cold_ms,
-    )
-
-
 HANDLERS = {
     messages.Watch: Publisher.take_watch,
-    messages.Directory: Publisher.take_directory,
     messages.Gateways: Publisher.take_gateways,
 }
-
-
-def as_ready(announcement):
-    """Return the announcement of a silent server as of one that is ready."""
-    return dataclasses.replace(announcement, phase=servers.ServerPhase.READY)
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -3,15 +3,16 @@
 import asyncio
 import pathlib
 import tempfile
+import types
 import unittest
 
 import orjson
 import structlog
 from tornado import httpclient
 
-from brasstrail.core import servers
+from brasstrail.core import errors, servers
 from brasstrail.protocol import messages
-from brasstrail.roles import daemon, publisher
+from brasstrail.roles import daemon
 from brasstrail.settings import settings
 from brasstrail.tools import ports
 
@@ -166,18 +167,27 @@
         await until(lambda: not self.controls[0].publisher.is_confirmed)
         reply = await self.call(self.controls[0], "GET", "/v1/configuration")
         self.assertEqual(reply.code, 503)
-        with self.assertRaises(publisher.errors.NoQuorum):
-            self.controls[0].publisher.announce(make_announcement("i-2"))
+        with self.assertRaises(errors.NoQuorum):
+            self.controls[0].publisher.registry.announce(make_announcement("i-2"))
         renewed = self.gateways[0].gateway.subscription.renewed_ms
         await asyncio.sleep(1.0)
         self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
 
+    async def test_control_hosts_tell_one_another_what_servers_said_only(self):
+        control = self.controls[0].publisher.registry
+        control.learn(make_announcement("i-4"), 0, False)
+        control.note_silence(10**9)
+        self.assertEqual(control.whole().records[0].phase, "silent")
+        sent = []
+        control.show(types.SimpleNamespace(send=sent.append))
+        self.assertEqual(sent[0].records[0].phase, "ready")
+
     async def test_a_leaving_server_that_is_silent_is_not_ready(self):
-        control = self.controls[0].publisher
+        control = self.controls[0].publisher.registry
         leaving = make_announcement("i-3", servers.ServerPhase.LEAVING)
         control.learn(leaving, 0, False)
         control.note_silence(10**9)
-        (record,) = control.whole_directory().records
+        (record,) = control.whole().records
         self.assertEqual(record.phase, "leaving")
         self.assertIsInstance(record, messages.ServerRecord)
 
