--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -163,6 +163,8 @@
             except refusals.Unknown as error:
                 self.note_failure(choice, error)
                 self.check_repeat(error)
+            except (refusals.CallerGone, iostream.StreamClosedError):
+                return "caller_gone"
             else:
                 if result is None:
                     return "answered"
--- a/brasstrail/state/files.py
+++ b/brasstrail/state/files.py
@@ -28,8 +28,10 @@
 
     def append(self, file, chunk):
         """Write bytes at the end of an open file; they are not durable yet."""
+        rest = memoryview(chunk)
         with typed(file.name):
-            file.write(chunk)
+            while rest:
+                rest = rest[file.write(rest) :]
             file.flush()
 
     def sync(self, file):
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -265,7 +265,7 @@
         self.close()
         path = self.folder / f"segment-{number:08d}.log"
         with files.typed(path):
-            self.segment = self.stack.enter_context(open(path, "ab"))
+            self.segment = self.stack.enter_context(self.open_file(path))
         self.segment_number = number
         self.segment_bytes = 0
         self.segment_last_index[number] = 0
@@ -273,6 +273,10 @@
         self.disk.sync(self.segment)
         self.disk.sync_folder(self.folder)
 
+    def open_file(self, path):
+        """Return a file to append to; nothing is kept back until it is closed."""
+        return open(path, "ab", buffering=0)
+
     def write_batch(self, records):
         """Write records to the segment in one piece."""
         payloads = [codec.encode(codec.JOURNAL, record) for record in records]
--- a/brasstrail/state/journal_test.py
+++ b/brasstrail/state/journal_test.py
@@ -241,6 +241,21 @@
         loaded = self.open().load()
         self.assertEqual([entry.index for entry in loaded.entries], [1])
 
+    def test_a_device_without_room_leaves_nothing_that_fails_later(self):
+        """What a full device refused must not be written when its file is closed."""
+        opened = self.open()
+        opened.load()
+        opened.close()
+        opened.segment = opened.stack.enter_context(opened.open_file("/dev/full"))
+        batch = make_ready([make_entry(1, command=b"z" * 400)])
+        with self.assertRaises(errors.DiskFailed):
+            opened.persist(batch)
+        opened.open_segment(opened.segment_number + 1)
+        opened.persist(batch)
+        opened.close()
+        loaded = self.open().load()
+        self.assertEqual([entry.index for entry in loaded.entries], [1])
+
     def test_a_record_missing_between_others_is_an_error(self):
         self.write(make_ready([make_entry(1)]), make_ready([make_entry(3)]))
         with self.assertRaises(errors.CorruptFile):
