An answer that has begun is finished where it can be

In the code a reset seen with the end of an answer made a whole one look broken, and a stream to be continued was refused at once when the queue looked long. Change: framing alone tells whether an answer with a length is whole; begun answers go before all others and are not refused for the queue.

--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 
 from tornado import iostream
@@ -25,6 +26,8 @@
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
 NO_SERVER_RETRY_S = 1.0
+# An answer that has begun goes before all that has not.
+BEGUN_RANK = (0, 0)
 
 
 class Forwarding:
@@ -184,8 +187,9 @@
         if not gateway.pool.has_servers(work.service):
             raise self.refusal("no_server", NO_SERVER_RETRY_S)
         last_ms = self.first_answer_by_ms() - self.service_ms(work)
-        wait_ms = gateway.pool.expected_wait_ms(work, now_ms)
-        if now_ms + wait_ms > last_ms:
+        if self.reply.head_sent:
+            work = dataclasses.replace(work, rank=BEGUN_RANK)
+        elif now_ms + gateway.pool.expected_wait_ms(work, now_ms) > last_ms:
             raise self.refusal("overload", self.retry_after_s())
         choice = await gateway.wait_for_turn(
             work, frozenset(self.tried), max(1, last_ms - now_ms)
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -377,6 +377,16 @@
         self.assertEqual((status, body), (200, b"".join(EVENTS[:2])))
         self.assertEqual(len(server.requests), 1)
 
+    async def test_an_answer_that_has_begun_is_not_refused_for_a_long_queue(self):
+        first, second = await self.serve(
+            [scripted.stream(EVENTS[:3], is_whole=False)],
+            [scripted.stream(EVENTS[3:])],
+        )
+        pooled = self.gateway.pool
+        pooled.expected_wait_ms = lambda work, now_ms: 10**6 if first.requests else 0
+        status, _, body = await self.call("resumed")
+        self.assertEqual((status, body), (200, b"".join(EVENTS)))
+
     async def test_a_silent_server_is_left_where_another_has_room(self):
         pause_s = sending.STREAM_SILENCE_MS / 1000 + 60
         first, second = await self.serve(
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -44,16 +44,21 @@
     Attributes
     ----------
     head : a future of the start line and the headers.
+    has_length : whether its framing tells where it ends.
+    whole : whether it has come to its end.
     """
 
     def __init__(self):
         self.head = asyncio.get_running_loop().create_future()
+        self.has_length = True
         self.chunks = asyncio.Queue(MAX_WAITING_CHUNKS)
         self.whole = False
 
     def headers_received(self, start_line, headers):
         """Take the head; interim answers are passed over."""
         if start_line.code >= 200 and not self.head.done():
+            is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+            self.has_length = is_chunked or "Content-Length" in headers
             self.head.set_result((start_line, headers))
 
     def data_received(self, chunk):
@@ -83,7 +88,6 @@
         self.answer = None
         self.reader = None
         self.writing = None
-        self.has_length = True
         self.idle_until_ms = 0
         self.used = 0
 
@@ -110,8 +114,9 @@
             await connection.read_response(answer)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             answer.whole = False
-        # A body without a length ends with its connection; a reset is no end.
-        if self.stream.error is not None:
+        # A body without a length ends with its connection; a reset is no end. One
+        # that is whole by its framing stays so, whatever becomes of the connection.
+        if self.stream.error is not None and not answer.has_length:
             answer.whole = False
         if not answer.head.done():
             answer.head.set_exception(AnswerBroken("The connection ended."))
@@ -120,10 +125,7 @@
 
     async def read_head(self):
         """Return the start line and the headers of the answer."""
-        start_line, headers = await asyncio.shield(self.answer.head)
-        is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-        self.has_length = is_chunked or "Content-Length" in headers
-        return start_line, headers
+        return await asyncio.shield(self.answer.head)
 
     async def read_chunk(self):
         """Return the next part of the body, or None at its end.
@@ -154,7 +156,7 @@
         """
         finished = self.reader is not None and self.answer.whole
         written = self.writing is not None and self.writing.done()
-        if not (finished and written and self.has_length and self.is_clean()):
+        if not (finished and written and self.answer.has_length and self.is_clean()):
             return False
         seconds = DEFAULT_IDLE_S if idle_s is None else idle_s - IDLE_MARGIN_S
         if seconds < MIN_IDLE_S:
