Let as many replicas vote as bear the named losses

Cause: seeds name three founders, and an installation that must bear the loss of two hosts kept three voters. Change: the setting control.losses; learners are promoted until 2 x losses + 1 replicas vote. The test with six hosts fails without it (three voters, no leader after two losses).

--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -709,6 +709,34 @@
         self.assertEqual(names, set(cluster.hosts))
         self.assertEqual(newcomer.applied, cluster.leaders()[0].applied)
 
+    def test_three_founders_grow_to_as_many_as_two_losses_need(self):
+        """Two hosts that are lost at once take no acknowledged record with them."""
+        cluster = Cluster(6, 3)
+        founders = ("c1", "c2", "c3")
+        for host in cluster.hosts.values():
+            host.hosts = founders
+            host.start(0)
+            host.replica.known = founders
+            host.replica.wanted_voters = 5
+        cluster.settle(60)
+        leader = cluster.leaders()[0]
+        self.assertEqual(len(leader.replica.raft.log.voters), 5)
+        cluster.propose(leader)
+        cluster.settle(5)
+        lost = [leader.name, *(name for name in founders if name != leader.name)][:2]
+        for name in lost:
+            del cluster.hosts[name]
+        cluster.wires = [
+            wire for wire in cluster.wires if not set(wire[:2]) & set(lost)
+        ]
+        begin_ms = cluster.now_ms
+        while cluster.now_ms - begin_ms < CATCH_UP_MS:
+            cluster.settle_reachable(1)
+        cluster.propose(cluster.leaders()[0])
+        cluster.settle_reachable(5)
+        self.assertEqual(cluster.leaders()[0].applied, [b"1", b"2"])
+        self.assertEqual(cluster.acknowledged, [b"1", b"2"])
+
     def test_a_blank_host_that_may_not_found_founds_nothing(self):
         cluster = Cluster(3, 1)
         for host in cluster.hosts.values():
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -106,7 +106,7 @@
         )
         own = self.hub.settings.cluster
         self.replica.known = own.peer_seeds if own.seed_port else ()
-        self.replica.wanted_voters = self.settings.replicas
+        self.replica.wanted_voters = self.settings.wanted_voters
         self.machine.restore(loaded.snapshot.state if loaded.snapshot else b"")
         self.log.info(
             "log: The replica starts.",
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -22,7 +22,7 @@
 LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_LETTERS = 16
 MAX_PORT = 65535
-MAY_BE_ZERO = ("replicas", "admin_port")
+MAY_BE_ZERO = ("replicas", "losses", "admin_port")
 # The part of the time within which a removed key must be dead; the rest covers
 # requests that were let in just before.
 LEASE_PART = 0.9
@@ -122,7 +122,8 @@
     quorum; it is read only while all of them are blank. An `admin_port` of 0 serves
     operators nowhere. With `seeds_found` the
     seeds are these hosts; control hosts are then named by their peer addresses.
-    `replicas` is how many replicas vote; 0 means as many as at first. Where
+    `replicas` is how many replicas vote; 0 means as many as at first, or, where
+    `losses` is given, as many as bear the loss of so many hosts at once. Where
     `document_address` (IP:port) is not empty, it serves operators of the whole
     document and the announcements of backend servers, in the words of `dialect`.
     """
@@ -137,10 +138,18 @@
     suspicion_s: int = 3600
     seeds_found: bool = False
     replicas: int = 0
+    losses: int = 0
     document_address: str = ""
     dialect: str = "fleet"
     announce_interval_ms: int = 1200
 
+    @property
+    def wanted_voters(self):
+        """How many replicas vote; 0 means as many as at first."""
+        if self.replicas or not self.losses:
+            return self.replicas
+        return 2 * self.losses + 1
+
 
 @dataclasses.dataclass(frozen=True)
 class GatewayRole:
--- a/brasstrail/settings/settings_test.py
+++ b/brasstrail/settings/settings_test.py
@@ -56,6 +56,11 @@
             settings.parse(text)
         self.assertEqual(len(caught.exception.problems), 2)
 
+    def test_voters_bear_the_losses_that_are_named(self):
+        self.assertEqual(settings.ControlRole().wanted_voters, 0)
+        self.assertEqual(settings.ControlRole(losses=2).wanted_voters, 5)
+        self.assertEqual(settings.ControlRole(losses=2, replicas=3).wanted_voters, 3)
+
     def test_missing_file(self):
         with self.assertRaises(errors.SettingsInvalid):
             settings.load("/nonexistent/file.toml")
