Add a soak of gateways and control hosts; answer where a connection is reset at once

The soak runs control hosts, gateways and backend servers as processes, with faults from outside, and judges by what callers, operators and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: demo test format lint bench measure slopes faults clean
+.PHONY: demo test format lint bench measure slopes faults soak clean
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -41,3 +41,11 @@
 
 clean:
 	rm -rf .venv build out var
+
+# SEEDS="1 2 3" names the seeds, SECONDS_OF_FAULTS how long faults come.
+SEEDS ?= 1 2 3
+SECONDS_OF_FAULTS ?= 20
+
+soak: .venv/installed
+	$(BIN)/python -m brasstrail.tools.soak $(SEEDS:%=--seed %) \
+		--seconds $(SECONDS_OF_FAULTS)
--- /dev/null
+++ b/brasstrail/fakes/fleet.py
@@ -0,0 +1,204 @@
+"""A backend server of the platform, as a process of its own.
+
+It announces itself to control hosts, answers plain requests and event streams, and
+writes each run into a journal file, which is what oracles read. On SIGTERM it leaves
+as the platform's servers do: it says so, serves on, withdraws and ends.
+
+A path ends in the number of events of its answer; 0 asks for a plain answer.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+
+import click
+import orjson
+from tornado import httpclient, httpserver, web
+
+ANNOUNCE_INTERVAL_S = 0.4
+ANNOUNCE_LIMIT_S = 1.0
+# The platform's bound on work that reaches a server which leaves, and how long its
+# servers go on after it.
+DRAIN_S = 3.0
+LINGER_S = 1.5
+EVENT_PAUSE_S = 0.03
+PLAIN_S = 0.02
+
+
+class Server:
+    """One start of a backend server.
+
+    Parameters
+    ----------
+    options : the values of the command line.
+    """
+
+    def __init__(self, options):
+        self.options = options
+        self.born_ms = int(1000 * time.time())
+        self.identity = f"i-{options['port']}-{self.born_ms}"
+        self.state = "ready"
+        self.sequence = 0
+        self.journal = open(options["journal"], "ab", buffering=0)
+
+    def note(self, event, **details):
+        """Write a line of the journal."""
+        record = {"event": event, "at": time.time(), "server": self.identity}
+        self.journal.write(orjson.dumps({**record, **details}) + b"\n")
+
+    async def call(self, method):
+        """Tell a control host of this server; return whether it acknowledged."""
+        self.sequence += 1
+        table = {
+            "service": self.options["service"],
+            "address": f"127.0.0.1:{self.options['announced_port']}",
+            "zone": self.options["zone"],
+            "version": "v1",
+            "slots": self.options["slots"],
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "born": self.born_ms,
+            "sequence": self.sequence,
+        }
+        host = random.choice(self.options["controls"].split(","))
+        request = httpclient.HTTPRequest(
+            f"http://{host}/v1/instances/{self.identity}",
+            method=method,
+            body=orjson.dumps(table) if method == "PUT" else None,
+            request_timeout=ANNOUNCE_LIMIT_S,
+        )
+        with contextlib.suppress(OSError, httpclient.HTTPError):
+            reply = await httpclient.AsyncHTTPClient().fetch(request)
+            return reply.code == 200
+        return False
+
+    async def announce(self):
+        """Announce until this server leaves."""
+        while self.state == "ready":
+            acknowledged = await self.call("PUT")
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S if acknowledged else 0.05)
+
+    async def leave(self):
+        """Leave as planned, then end."""
+        self.state = "draining"
+        until = time.monotonic() + DRAIN_S
+        while time.monotonic() < until and not await self.call("PUT"):
+            await asyncio.sleep(0.05)
+        self.note("leaving")
+        await asyncio.sleep(DRAIN_S + LINGER_S)
+        await self.call("DELETE")
+        asyncio.get_running_loop().stop()
+
+
+class RunHandler(web.RequestHandler):
+    """A request that is run."""
+
+    def initialize(self, server):
+        """Keep the server."""
+        self.server = server
+        self.identity = ""
+        self.is_running = False
+
+    async def get(self, count):
+        """Run a request that may be repeated."""
+        await self.run(int(count))
+
+    async def post(self, count):
+        """Run a request."""
+        await self.run(int(count))
+
+    async def run(self, count):
+        """Run a request once and write what was done."""
+        given = self.request.headers
+        self.identity = given.get("X-Attempt-Id", "")
+        self.set_header("X-Attempt-Id", self.identity)
+        expected = given.get("X-Expected-Instance", self.server.identity)
+        if expected != self.server.identity:
+            self.set_status(421)
+            self.set_header("X-Not-Executed", "1")
+            return
+        after = int(given.get("Last-Event-Id", 0))
+        self.server.note(
+            "start",
+            id=self.identity,
+            workspace=given.get("X-Tenant-Id", ""),
+            after=after,
+            has_key="Authorization" in given,
+        )
+        self.is_running = True
+        self.set_header("X-Server-Signature", f"{self.server.identity}.{self.identity}")
+        if not count:
+            await asyncio.sleep(random.uniform(0.5, 2.0) * PLAIN_S)
+            self.write(f"{self.identity} done by {self.server.identity}")
+        else:
+            await self.send_events(after, count)
+        self.end(True)
+
+    async def send_events(self, after, count):
+        """Send the events that follow the one that the caller has."""
+        self.set_header("Content-Type", "text/event-stream")
+        for number in range(after + 1, count + 1):
+            await asyncio.sleep(random.uniform(0.5, 1.5) * EVENT_PAUSE_S)
+            self.write(f"id: {number}\ndata: {self.identity} {number}/{count}\n\n")
+            await self.flush()
+
+    def end(self, is_whole):
+        """Note the end of the run, once."""
+        if self.is_running:
+            self.is_running = False
+            self.server.note("end", id=self.identity, whole=is_whole)
+
+    def on_connection_close(self):
+        """The gateway has left."""
+        self.end(False)
+
+
+class HealthHandler(web.RequestHandler):
+    """The question whether the server is well."""
+
+    def initialize(self, server):
+        """Keep the server."""
+        self.server = server
+
+    def get(self):
+        """Answer while the server does not leave."""
+        self.set_status(200 if self.server.state == "ready" else 503)
+        self.set_header("X-Instance-Id", self.server.identity)
+
+
+async def serve(options):
+    """Serve until the process is told to leave."""
+    httpclient.AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
+    server = Server(options)
+    context = {"server": server}
+    app = web.Application(
+        [(r"/health", HealthHandler, context), (r"/.*/(\d+)", RunHandler, context)],
+        log_function=lambda handler: None,
+    )
+    httpserver.HTTPServer(app).listen(options["port"], "127.0.0.1")
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(
+        signal.SIGTERM, lambda: asyncio.ensure_future(server.leave())
+    )
+    await server.announce()
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option("--port", type=int, required=True)
+@click.option("--announced-port", type=int, required=True, help="Where callers come.")
+@click.option("--controls", required=True, help="Addresses of control hosts, by comma.")
+@click.option("--service", required=True)
+@click.option("--zone", default="dc-1")
+@click.option("--slots", type=int, default=6)
+@click.option("--journal", required=True, help="A file that lists every run.")
+def main(**options):
+    """Run a backend server."""
+    with contextlib.suppress(RuntimeError):
+        asyncio.run(serve(options))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/brasstrail/fakes/fleetcalls.py
@@ -0,0 +1,187 @@
+"""Callers and operators of the platform, as tests and the soak play them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+
+import orjson
+from tornado import httpclient
+
+ENGINE_SERVICE = "engine"
+PLAIN_SERVICE = "plain"
+HOST = "soak.example"
+# The way of a request: its prefix, its type, and whether it may be resumed.
+ROUTES = {
+    "look": ("idempotent", False, PLAIN_SERVICE),
+    "act": ("non_idempotent", False, PLAIN_SERVICE),
+    "talk": ("streaming", False, ENGINE_SERVICE),
+    "tale": ("streaming", True, ENGINE_SERVICE),
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """A workspace of the document: its keys and its allotment of requests."""
+
+    name: str
+    keys: tuple[str, ...]
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
+@dataclasses.dataclass
+class Reply:
+    """What a caller saw of one request. `status` 0 means no whole head."""
+
+    identity: str
+    route: str
+    key: str
+    gateway: str
+    sent_at: float
+    ended_at: float = 0.0
+    status: int = 0
+    retry_after: str = ""
+    body: bytes = b""
+    is_whole: bool = False
+    is_read: bool = False
+    events: int = 0
+
+
+def make_document(version, workspaces):
+    """Return the operators' document of a run."""
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "path_prefix": f"/{name}/",
+            "type": kind,
+            "timeout_ms": 6000,
+            "goal_ms": 1000,
+            "priority": place,
+            "service": service,
+            "max_attempts": 2,
+            "public": False,
+            "resumable": resumable,
+            "itl_goal_ms": 500,
+        }
+        for place, (name, (kind, resumable, service)) in enumerate(ROUTES.items())
+    ]
+    runtime = {"slots": 6, "kv_capacity": 100_000, "stride": 5}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": PLAIN_SERVICE, "health_path": "/health", "max_conns": 200},
+            {
+                "name": ENGINE_SERVICE,
+                "health_path": "/health",
+                "max_conns": 200,
+                "runtime": runtime,
+            },
+        ],
+        "limits": {"idle_timeout_ms": 15_000, "max_body_bytes": 1_000_000},
+        "tenants": [
+            {
+                "name": each.name,
+                "api_keys": list(each.keys),
+                "rate_per_s": each.rate_per_s,
+                "burst": each.burst,
+            }
+            for each in workspaces
+        ],
+    }
+
+
+async def put_document(address, document, limit_s):
+    """Return the status of one sending of a document; 599 where none came."""
+    return (await operate(address, "PUT", orjson.dumps(document), limit_s)).code
+
+
+async def read_version(address, limit_s):
+    """Return the version that a control host shows, or None where it is not sure."""
+    reply = await operate(address, "GET", None, limit_s)
+    return orjson.loads(reply.body)["version"] if reply.code == 200 else None
+
+
+async def operate(address, method, body, limit_s):
+    """Return the response to an operator's call."""
+    request = httpclient.HTTPRequest(
+        f"http://{address}/v1/configuration",
+        method=method,
+        body=body,
+        request_timeout=limit_s,
+        connect_timeout=limit_s,
+    )
+    try:
+        return await httpclient.AsyncHTTPClient().fetch(request, raise_error=False)
+    except (OSError, httpclient.HTTPError):
+        return httpclient.HTTPResponse(request, 599)
+
+
+class Caller:
+    """A caller with one connection, which it keeps as long as it can be used."""
+
+    def __init__(self):
+        self.address = ""
+        self.reader = None
+        self.writer = None
+
+    def close(self):
+        """Close the connection."""
+        if self.writer is not None:
+            self.writer.close()
+        self.reader = self.writer = None
+
+    async def call(self, address, reply, events, deadline_s):
+        """Send a request and note in `reply` what comes."""
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError
+        ):
+            await asyncio.wait_for(
+                self.exchange(address, reply, events, deadline_s), deadline_s
+            )
+        reply.ended_at = time.time()
+        if not reply.is_whole:
+            self.close()
+
+    async def exchange(self, address, reply, events, deadline_s):
+        """Send the request and read the answer."""
+        if address != self.address or self.writer is None:
+            self.close()
+            host, _, port = address.rpartition(":")
+            self.address = address
+            self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        method = "GET" if reply.route == "look" else "POST"
+        head = (
+            f"{method} /{reply.route}/{events} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Attempt-Id: {reply.identity}\r\nAuthorization: Token {reply.key}\r\n"
+            f"X-Deadline-Ms: {int(1000 * deadline_s)}\r\nX-Token-Usage: 200,40\r\n"
+            "Content-Length: 0\r\n\r\n"
+        )
+        self.writer.write(head.encode())
+        await self.writer.drain()
+        reply.is_read = True
+        await self.read(reply)
+
+    async def read(self, reply):
+        """Read an answer, piece by piece."""
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        line, *rest = head.split("\r\n")
+        named = {}
+        for item in rest:
+            name, _, value = item.partition(":")
+            named[name.strip().lower()] = value.strip()
+        reply.status = int(line.split()[1])
+        reply.retry_after = named.get("retry-after", "")
+        if "content-length" in named:
+            size = int(named["content-length"])
+            reply.body = await self.reader.readexactly(size)
+        else:
+            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                reply.body += await self.reader.readexactly(size)
+                await self.reader.readexactly(2)
+            await self.reader.readexactly(2)
+        reply.is_whole = True
+        if named.get("connection", "").lower() == "close":
+            self.close()
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -94,10 +94,24 @@
         except asyncio.CancelledError:
             outcome = "caller_gone"
             raise
+        except Exception as error:
+            outcome = "fault"
+            self.answer_fault(error)
         finally:
             self.settle_allotment()
             self.note(outcome)
 
+    def answer_fault(self, error):
+        """Answer a request that a fault of this program has ended."""
+        self.gateway.log.error(
+            "forwarding: A request failed within.",
+            id=self.identity,
+            reason=repr(error),
+            ran=str(self.ran),
+        )
+        refusal = self.refusal("internal_error", MIN_RETRY_S)
+        self.reply.refuse(refusal, self.call, self.ran)
+
     async def serve(self, start_line, headers, body):
         """Admit the request and bring it to its end within its time."""
         try:
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -162,6 +162,19 @@
 class PlainTest(GatewayCase):
     """Plain requests: unchanged, run once, answered truly."""
 
+    async def test_a_fault_of_the_program_still_gets_a_true_answer(self):
+        """Found by the soak, seed 2: an untyped error closed the connection."""
+        servers = await self.serve([scripted.reply()])
+
+        async def fail(address, timeout_ms):
+            raise AttributeError("a fault")
+
+        self.gateway.connections.open = fail
+        status, headers, _ = await self.call("unsafe")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertEqual(servers[0].requests, [])
+
     async def test_request_and_answer_pass_unchanged(self):
         (server,) = await self.serve([scripted.reply(201, b"b\0dy", X_Mine="1")])
         status, headers, body = await self.call("unsafe", body=b"in", X_Other="2")
--- a/brasstrail/tools/cluster.py
+++ b/brasstrail/tools/cluster.py
@@ -31,13 +31,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class NodeSpec:
-    """A daemon to run. `extra` is TOML text added to its settings."""
+    """A daemon to run.
+
+    `extra` is TOML text added to its last table; names of ports in braces are
+    replaced by the ports. `relayed` is whether others reach it through a relay.
+    """
 
     name: str
     roles: tuple[str, ...]
     data_centre: str = "dc-1"
     region: str = "region-1"
     extra: str = ""
+    relayed: bool = True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +74,21 @@
     '[control]\nadmin_port = {admin}\ndata_folder = "{folder}"\n'
     "initial_replicas = {replicas}\n"
 )
-PORT_NAMES = ("peer", "relay", "http", "announce", "admin", "server")
+GATEWAY_TABLE = (
+    '[gateway]\nhttp_address = "127.0.0.1:{http}"\n'
+    'ready_address = "127.0.0.1:{ready}"\n'
+)
+PORT_NAMES = (
+    "peer",
+    "relay",
+    "http",
+    "ready",
+    "announce",
+    "admin",
+    "document",
+    "server",
+    "server_relay",
+)
 
 
 class Cluster:
@@ -92,13 +111,13 @@
         self.servers = {server.agent: server for server in servers}
         self.policy = policy
         self.relayed = relayed
-        given = ports.Ports()
+        given = self.given_ports = ports.Ports()
         self.ports = {
             name: {each: given.take() for each in PORT_NAMES} for name in self.nodes
         }
-        if not relayed:
-            for each in self.ports.values():
-                each["relay"] = each["peer"]
+        for name, taken in self.ports.items():
+            if not self.is_relayed(name):
+                taken["relay"] = taken["peer"]
         self.processes = {}
         self.relays = {}
         self.stack = contextlib.ExitStack()
@@ -107,12 +126,9 @@
         )
 
     async def __aenter__(self):
-        for name in self.nodes if self.relayed else ():
+        for name in filter(self.is_relayed, self.nodes):
             taken = self.ports[name]
-            each = relay.Relay(taken["relay"], taken["peer"])
-            await each.start()
-            self.stack.callback(each.close)
-            self.relays[name] = each
+            await self.add_relay(name, taken["relay"], taken["peer"])
         for name in self.nodes:
             self.start(name)
         for name in self.servers:
@@ -127,6 +143,17 @@
             await self.wait_ended(process, deadline)
         self.stack.close()
 
+    def is_relayed(self, name):
+        """Return whether others reach a daemon through a relay."""
+        return self.relayed and self.nodes[name].relayed
+
+    async def add_relay(self, name, port, target_port):
+        """Relay connections from a port to another until the cluster ends."""
+        each = relay.Relay(port, target_port)
+        await each.start()
+        self.stack.callback(each.close)
+        self.relays[name] = each
+
     def stop_soon(self, name):
         """Ask a process to stop, also where it is frozen."""
         process = self.processes[name]
@@ -178,11 +205,12 @@
             ("entry", ENTRY_TABLE),
             ("agent", AGENT_TABLE),
             ("control", CONTROL_TABLE),
+            ("gateway", GATEWAY_TABLE),
         )
         for role, table in tables:
             if role in node.roles:
                 text += table
-        return text.format(**values) + node.extra
+        return (text + node.extra).format(**values)
 
     def data_folder(self, name):
         """Return the data folder of a daemon."""
@@ -228,6 +256,10 @@
         """Let a frozen process go on."""
         self.processes[name].send_signal(signal.SIGCONT)
 
+    def reload(self, name):
+        """Let a daemon read its settings again."""
+        self.processes[name].send_signal(signal.SIGHUP)
+
     def wipe(self, name):
         """Delete the data folder of a daemon that does not run."""
         shutil.rmtree(self.data_folder(name), ignore_errors=True)
--- a/brasstrail/tools/relay.py
+++ b/brasstrail/tools/relay.py
@@ -18,6 +18,7 @@
     ----------
     silent_in : drop what comes from the dialing side.
     silent_out : drop what goes back to it.
+    delay_s : how much later each piece is passed on.
     """
 
     def __init__(self, port, target_port):
@@ -25,6 +26,7 @@
         self.target_port = target_port
         self.silent_in = False
         self.silent_out = False
+        self.delay_s = 0.0
         self.server = None
         self.writers = set()
 
@@ -42,6 +44,11 @@
         for writer in list(self.writers):
             writer.close()
 
+    def reset_connections(self):
+        """Reset all connections, as a host does that has lost them."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def cut(self):
         """Go silent in both directions."""
         self.silent_in = self.silent_out = True
@@ -51,6 +58,7 @@
         if self.silent_in or self.silent_out:
             self.break_connections()
         self.silent_in = self.silent_out = False
+        self.delay_s = 0.0
 
     async def serve(self, reader, writer):
         """Relay one connection."""
@@ -70,6 +78,8 @@
         """Relay one direction of a connection."""
         with contextlib.suppress(OSError):
             while chunk := await reader.read(READ_BYTES):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
                 if not getattr(self, direction):
                     writer.write(chunk)
                     await writer.drain()
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -226,6 +226,9 @@
             stream = await asyncio.wait_for(connecting, timeout_ms / 1000)
         except (OSError, asyncio.TimeoutError, iostream.StreamClosedError) as error:
             raise ConnectFailed(str(error) or type(error).__name__) from error
+        if stream.closed():
+            # It was reset between its establishment and this task's turn.
+            raise ConnectFailed("The connection was reset at once.")
         stream.set_nodelay(True)
         watch_silence(stream.socket)
         return Upstream(stream, address)
--- a/brasstrail/transport/upstream_test.py
+++ b/brasstrail/transport/upstream_test.py
@@ -1,9 +1,10 @@
 """Tests of answers whose connection fails at their end."""
 
 import asyncio
+import socket
 import unittest
 
-from tornado import httputil
+from tornado import httputil, iostream
 
 from brasstrail.transport import upstream
 
@@ -28,6 +29,26 @@
         answer.finish()
 
 
+class ClosedClient:
+    """Connects to a server that resets the connection at once."""
+
+    async def connect(self, host, port):
+        stream = iostream.IOStream(socket.socket())
+        stream.close()
+        return stream
+
+
+class OpenTest(unittest.IsolatedAsyncioTestCase):
+    """Connections that fail as soon as they are made."""
+
+    async def test_a_connection_that_is_reset_at_once_has_carried_nothing(self):
+        """Found by the soak, seed 2: the request got no answer at all."""
+        connections = upstream.Connections()
+        connections.client = ClosedClient()
+        with self.assertRaises(upstream.ConnectFailed):
+            await connections.open("127.0.0.1:1", 100)
+
+
 class EndTest(unittest.IsolatedAsyncioTestCase):
     """A reset that is seen together with the end of an answer."""
 
