--- a/brasstrail/roles/admin.py
+++ b/brasstrail/roles/admin.py
@@ -33,10 +33,6 @@
         self.hub = hub
         self.control = control
         self.metrics = metrics
-        metrics.gauge("control_leads", lambda: int(control.replication.is_leader))
-        metrics.gauge("control_index", lambda: control.machine.index)
-        metrics.gauge("control_members", lambda: len(control.view.members))
-        metrics.gauge("control_keys", lambda: len(control.machine.ledger.records))
 
     @property
     def ready(self):
--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -92,6 +92,14 @@
         """The view within the replicated state."""
         return self.replication.machine.view
 
+    def register_gauges(self, metrics):
+        """Register what is shown of the replica and its state."""
+        metrics.gauge("control_leads", lambda: int(self.replication.is_leader))
+        metrics.gauge("control_index", lambda: self.machine.index)
+        metrics.gauge("control_members", lambda: len(self.view.members))
+        metrics.gauge("control_keys", lambda: len(self.machine.ledger.records))
+        metrics.gauge("control_voters", lambda: len(self.replication.voters()))
+
     def start(self):
         """Start the replica and begin to serve."""
         self.replication.start()
--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -46,18 +46,24 @@
     def __init__(self, loaded, log=None, path=None):
         self.settings = loaded
         self.path = path
-        self.log = log or logs.make_logger(loaded)
+        self.metrics = metrics.Metrics()
+        self.log = log or self.make_logger()
         self.stack = contextlib.ExitStack()
         self.stopping = asyncio.Event()
         self.incarnation = clock.wall_ms()
         self.hub = hub.Hub(loaded, self.incarnation, self.log)
-        self.metrics = metrics.Metrics()
         self.control = None
         self.entry = None
         self.agent = None
         self.gateway = None
         self.publisher = None
 
+    def make_logger(self):
+        """Return the logger that the settings ask for."""
+        output = logs.make_output(self.settings)
+        self.metrics.gauge("log_lines_left_out", lambda: output.total_left_out)
+        return logs.make_logger(self.settings, output)
+
     async def start_all(self):
         """Start listening and all roles."""
         self.start()
@@ -89,6 +95,7 @@
     def start_control(self):
         """Start the control role and the operators' API."""
         self.control = control.Control(self.hub)
+        self.control.register_gauges(self.metrics)
         self.control.start()
         self.stack.callback(self.control.close)
         if self.settings.control.document_address:
@@ -99,7 +106,7 @@
     def start_publisher(self):
         """Serve gateways, operators of the document and announcements."""
         options = self.settings.control
-        self.publisher = publisher.Publisher(self.hub, self.control)
+        self.publisher = publisher.Publisher(self.hub, self.control, self.metrics)
         self.publisher.start()
         self.stack.callback(self.publisher.close)
         dialect = dialects.find(options.dialect)
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -88,6 +88,7 @@
             outcome = await self.serve(start_line, headers, body)
         except refusals.Refused as refusal:
             outcome = refusal.reason
+            self.gateway.metrics.count("gateway_refusals", reason=outcome)
             self.reply.refuse(refusal, self.call, self.ran)
         except (refusals.CallerGone, iostream.StreamClosedError):
             outcome = "caller_gone"
@@ -211,6 +212,9 @@
         if choice is None:
             raise self.refusal("no_room", self.retry_after_s())
         self.waited_ms += clock.now_ms() - now_ms
+        tier = self.admitted.rank[0]
+        gateway.metrics.record("gateway_wait", self.waited_ms / 1000, tier=tier)
+        gateway.metrics.count("gateway_sendings")
         self.log_choice(choice)
         return choice
 
@@ -314,6 +318,9 @@
         )
         gateway.metrics.count("gateway_requests", outcome=outcome, tier=tier)
         gateway.metrics.record("gateway_request", total_ms / 1000, tier=tier)
+        first_ms = self.first_event_after_ms()
+        if first_ms is not None and self.reply.events:
+            gateway.metrics.record("gateway_first_event", first_ms / 1000, tier=tier)
 
     def first_event_after_ms(self):
         """Return the time to the first event or the answer, or None."""
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -381,4 +381,8 @@
         gauge("gateway_document_version", lambda: self.document_version)
         gauge("gateway_lease_age_ms", lambda: self.subscription.lease_age_ms() or -1)
         gauge("gateway_connections_opened", lambda: self.connections.opened)
+        gauge("gateway_held_bytes", lambda: self.held_bytes)
+        gauge("gateway_peers", lambda: self.pool.gateways - 1)
+        gauge("gateway_servers", lambda: len(self.pool.servers))
+        gauge("gateway_datagrams", lambda: self.gossip.datagrams)
         metrics.gauge_bytes(self.metrics, self.hub)
--- a/brasstrail/roles/hub.py
+++ b/brasstrail/roles/hub.py
@@ -177,7 +177,13 @@
         """Run a coroutine as a task that ends with the hub."""
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.task_ended)
+
+    def task_ended(self, task):
+        """Forget a task; one that a fault of the program ended is logged."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log.error("hub: A task failed within.", reason=repr(task.exception()))
 
     async def keep_dialing(self, link):
         """Connect a link again whenever its connection ends."""
--- a/brasstrail/roles/logs.py
+++ b/brasstrail/roles/logs.py
@@ -33,6 +33,8 @@
     Attributes
     ----------
     left_out : how many lines were left out since the last line that says so.
+    total_left_out : how many were left out since the start.
+    rest : the end of a line of which the reader has taken the beginning.
     """
 
     def __init__(self, descriptor, lines_a_second, render):
@@ -43,11 +45,13 @@
         self.room = self.burst
         self.filled_ms = clock.now_ms()
         self.left_out = 0
+        self.total_left_out = 0
+        self.rest = b""
 
     def msg(self, line):
         """Write a line, or count it as left out."""
         if not self.take_room():
-            self.left_out += 1
+            self.leave_out()
             return
         if self.left_out:
             self.write(self.left_out_line() + "\n")
@@ -78,25 +82,43 @@
         return True
 
     def write(self, text):
-        """Write text; what the reader does not take now is left out."""
-        try:
-            os.write(self.descriptor, text.encode())
-        except BlockingIOError:
-            self.left_out += 1
-
+        """Write text; what cannot be written now is left out.
 
-def make_logger(settings):
-    """Return the logger of a process, with its name on every line."""
+        A reader that is slow, or a full device, must not stop the process.
+        """
+        payload = text.encode()
+        try:
+            if self.rest:
+                self.rest = self.rest[os.write(self.descriptor, self.rest) :]
+            if self.rest:
+                self.leave_out()
+                return
+            self.rest = payload[os.write(self.descriptor, payload) :]
+        except OSError:
+            self.leave_out()
+
+    def leave_out(self):
+        """Count a line that is left out."""
+        self.left_out += 1
+        self.total_left_out += 1
+
+
+def make_output(settings):
+    """Return the output of a process's log."""
     descriptor = STREAMS[settings.log.output].fileno()
     if not os.isatty(descriptor):
         os.set_blocking(descriptor, False)
     renderer = make_renderer(settings.log.format)
-    output = BoundedOutput(descriptor, settings.log.lines_a_second, renderer)
+    return BoundedOutput(descriptor, settings.log.lines_a_second, renderer)
+
+
+def make_logger(settings, output):
+    """Return the logger of a process, with its name on every line."""
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            renderer,
+            output.render,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(
             LEVELS[settings.log.level.upper()]
--- a/brasstrail/roles/logs_test.py
+++ b/brasstrail/roles/logs_test.py
@@ -38,6 +38,26 @@
             output.msg("x" * 200)
         self.assertGreater(output.left_out, 0)
 
+    def test_a_full_device_stops_nobody(self):
+        """Found with the soak's fault of a device that refuses writes."""
+        output = logs.BoundedOutput(
+            os.open("/dev/full", os.O_WRONLY), 1000, logs.make_renderer("json")
+        )
+        self.addCleanup(os.close, output.descriptor)
+        output.msg("{}")
+        self.assertEqual(output.left_out, 1)
+
+    def test_a_line_that_was_begun_is_finished_before_the_next(self):
+        output = self.make(10**6)
+        while not output.rest:
+            output.msg("x" * 3000)
+        taken = os.read(self.reader, 2**20)
+        output.msg("next")
+        taken += os.read(self.reader, 2**20)
+        lines = [line for line in taken.decode().splitlines() if "event" not in line]
+        self.assertEqual({line.strip("x") for line in lines}, {"", "next"})
+        self.assertEqual({len(line) for line in lines}, {3000, 4})
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/brasstrail/roles/measures.py
@@ -0,0 +1,107 @@
+"""All metrics of the product: their names, kinds, units, labels and meaning.
+
+A counter's name ends in `_total` and a histogram's in `_seconds` where they are
+shown. `metrics.Metrics` takes no metric that is not named here, and the page
+`docs/METRICS.md` is generated from this list.
+"""
+
+import dataclasses
+import enum
+
+
+class Kind(enum.StrEnum):
+    """What a metric is."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "summary"
+
+
+@dataclasses.dataclass(frozen=True)
+class Measure:
+    """A metric. `labels` are the names of its labels."""
+
+    name: str
+    kind: Kind
+    unit: str
+    meaning: str
+    labels: tuple[str, ...] = ()
+
+    @property
+    def shown_name(self):
+        """The name under which the metric is shown, without the product's prefix."""
+        endings = {Kind.COUNTER: "_total", Kind.HISTOGRAM: "_seconds", Kind.GAUGE: ""}
+        return self.name + endings[self.kind]
+
+
+def counter(name, unit, meaning, *labels):
+    """Return a counter."""
+    return Measure(name, Kind.COUNTER, unit, meaning, labels)
+
+
+def gauge(name, unit, meaning):
+    """Return a gauge."""
+    return Measure(name, Kind.GAUGE, unit, meaning)
+
+
+def latency(name, meaning, *labels):
+    """Return a histogram of latencies."""
+    return Measure(name, Kind.HISTOGRAM, "seconds", meaning, labels)
+
+
+MEASURES = (
+    # Entries.
+    counter(
+        "requests", "requests", "Requests that ended.", "outcome", "service", "tier"
+    ),
+    latency("whole_answer", "Arrival to the end of a whole answer.", "service", "tier"),
+    latency("first_byte", "Arrival to the first token.", "service", "tier"),
+    latency("waiting", "Time in the queue before a server was bound."),
+    counter("decisions", "decisions", "Decisions on waiting work.", "decision", "tier"),
+    gauge("requests_waiting", "requests", "Requests that wait for a server."),
+    gauge("requests_open", "requests", "Requests under way."),
+    gauge("held_bytes", "bytes", "Request and answer bytes held in memory."),
+    # Agents.
+    counter("runs", "runs", "Runs at the agent's server.", "outcome"),
+    gauge("agent_running", "requests", "Requests that the server runs."),
+    gauge("agent_offers", "offers", "Offers of entries that stand."),
+    gauge("agent_open", "0 or 1", "Whether the agent takes new work."),
+    gauge("agent_health", "ratio", "The server's pace against its usual one."),
+    # Control hosts.
+    counter("config_changes", "changes", "Changes of the configuration."),
+    gauge("control_leads", "0 or 1", "Whether this host leads the log."),
+    gauge("control_index", "records", "The index of the last applied record."),
+    gauge("control_members", "processes", "Entries and agents that are known."),
+    gauge("control_keys", "keys", "Idempotency keys in the ledger."),
+    gauge("control_voters", "replicas", "Replicas that vote, as far as is known here."),
+    gauge("control_document_version", "version", "The document that is applied here."),
+    gauge("control_confirmed_age_ms", "ms", "Since a quorum answered; -1: never."),
+    gauge("control_followers", "gateways", "Gateways that follow this host."),
+    gauge("control_servers", "servers", "Backend servers that are known here."),
+    gauge("control_servers_silent", "servers", "Of these, those that are silent."),
+    counter("control_documents", "calls", "Documents of operators.", "outcome"),
+    counter("control_announcements", "calls", "Calls of backend servers.", "outcome"),
+    latency("control_commit", "A document's arrival to the commit's outcome."),
+    # Gateways.
+    counter("gateway_requests", "requests", "Requests that ended.", "outcome", "tier"),
+    latency("gateway_request", "Arrival to the end of a request.", "tier"),
+    latency("gateway_wait", "Arrival to the binding to a server.", "tier"),
+    latency("gateway_first_event", "Arrival to a stream's first event.", "tier"),
+    counter("gateway_refusals", "requests", "Refusals by their reason.", "reason"),
+    counter("gateway_sendings", "sendings", "Requests sent to servers."),
+    counter("gateway_failed_sendings", "sendings", "Sendings that failed.", "reason"),
+    gauge("gateway_running", "requests", "Requests under way."),
+    gauge("gateway_waiting", "requests", "Requests that wait for a server."),
+    gauge("gateway_held_bytes", "bytes", "Bytes of request bodies held in memory."),
+    gauge("gateway_peers", "gateways", "Other gateways that are known."),
+    gauge("gateway_servers", "servers", "Backend servers that are known."),
+    gauge("gateway_document_version", "version", "The document in force."),
+    gauge("gateway_lease_age_ms", "ms", "Age of the lease; -1: there was none."),
+    gauge("gateway_connections_opened", "connections", "Opened to servers so far."),
+    gauge("gateway_datagrams", "datagrams", "Sent to other gateways so far."),
+    # All processes.
+    gauge("log_lines_left_out", "lines", "Log lines left out under load so far."),
+    gauge("peer_bytes_sent_within", "bytes", "Sent to processes of the same region."),
+    gauge("peer_bytes_sent_between_regions", "bytes", "Sent to processes of others."),
+)
+BY_NAME = {each.name: each for each in MEASURES}
--- /dev/null
+++ b/brasstrail/roles/metrics_test.py
@@ -0,0 +1,44 @@
+"""Tests of metrics: none without a description, and all of them shown."""
+
+import re
+import unittest
+
+from brasstrail.roles import measures, metrics
+
+NAME = re.compile("^[a-z][a-z0-9_]*$")
+
+
+class MetricsTest(unittest.TestCase):
+    """What may be recorded and how it is shown."""
+
+    def test_what_is_not_described_is_refused(self):
+        recorded = metrics.Metrics()
+        with self.assertRaises(metrics.UnknownMetric):
+            recorded.count("no_such_metric")
+        with self.assertRaises(metrics.UnknownMetric):
+            recorded.gauge("gateway_requests", int)
+        with self.assertRaises(metrics.UnknownMetric):
+            recorded.count("gateway_requests", outcome="answered")
+
+    def test_each_name_is_described_once_with_a_unit(self):
+        names = [each.shown_name for each in measures.MEASURES]
+        self.assertEqual(len(names), len(set(names)))
+        for each in measures.MEASURES:
+            self.assertRegex(each.name, NAME)
+            self.assertTrue(each.unit and each.meaning)
+
+    def test_values_are_shown_with_help_and_type(self):
+        recorded = metrics.Metrics()
+        recorded.count("gateway_requests", outcome="answered", tier=1)
+        recorded.gauge("gateway_running", lambda: 3)
+        recorded.record("gateway_request", 0.25, tier=1)
+        text = recorded.render()
+        self.assertIn("# TYPE brasstrail_gateway_requests_total counter", text)
+        shown = 'brasstrail_gateway_requests_total{outcome="answered",tier="1"} 1'
+        self.assertIn(shown, text)
+        self.assertIn("\nbrasstrail_gateway_running 3\n", text)
+        self.assertIn('quantile="0.99"} 0.25', text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -59,10 +59,12 @@
     ----------
     hub : `hub.Hub` of the process.
     control : `control.Control` of the process.
+    recorded : `metrics.Metrics` of the process.
     """
 
-    def __init__(self, hub, control):
+    def __init__(self, hub, control, recorded):
         self.hub = hub
+        self.metrics = recorded
         self.log = hub.log
         self.control = control
         self.registry = registry.Registry(hub, self)
@@ -80,8 +82,25 @@
 
     def start(self):
         """Begin to serve."""
+        self.register_gauges()
         self.ticker.start()
 
+    def register_gauges(self):
+        """Register what is shown of documents, gateways and backend servers."""
+        gauge = self.metrics.gauge
+        known = self.registry.directory.known
+        gauge("control_document_version", lambda: self.document.version)
+        gauge("control_confirmed_age_ms", self.confirmed_age_ms)
+        gauge("control_followers", lambda: len(self.followers))
+        gauge("control_servers", lambda: len(known))
+        gauge("control_servers_silent", lambda: len(self.registry.silent))
+
+    def confirmed_age_ms(self):
+        """Return the time since a quorum answered, or -1."""
+        if self.confirmed_ms is None:
+            return -1
+        return clock.now_ms() - self.confirmed_ms
+
     def close(self):
         """Stop serving."""
         self.ticker.stop()
@@ -211,6 +230,7 @@
 
         On return the document, or one with a higher version, is committed.
         """
+        arrived_ms = clock.now_ms()
         command = commands.ReplaceDocument(version, documents.pack(body))
         outcome = self.hub.loop.create_future()
 
@@ -230,6 +250,9 @@
             committed=result.committed,
             held=self.document.version,
         )
+        outcome = "committed" if result.committed else "not_in_time"
+        self.metrics.count("control_documents", outcome=outcome)
+        self.metrics.record("control_commit", (clock.now_ms() - arrived_ms) / 1000)
         if not result.committed:
             raise errors.NoQuorum(
                 "The document was not committed in time; it may still be.",
@@ -252,6 +275,8 @@
 
     def check_confirmed(self):
         """Raise `errors.NoQuorum` where this host could pass nothing on."""
+        outcome = "taken" if self.is_confirmed else "no_quorum"
+        self.metrics.count("control_announcements", outcome=outcome)
         if not self.is_confirmed:
             raise errors.NoQuorum(
                 "This control host does not reach the quorum.",
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -115,6 +115,11 @@
             records=len(loaded.entries),
         )
 
+    def voters(self):
+        """Return the replicas that vote, as far as is known here."""
+        node = self.replica.raft if self.replica is not None else None
+        return node.log.voters if node is not None else ()
+
     def founders(self):
         """Return the names of the hosts that found the cluster."""
         if self.settings.seeds_found:
@@ -281,7 +286,12 @@
         snapshot = snapshots.SnapshotFile(
             index, node.log.term_at(index), voters, learners, state
         )
-        self.journal.save_snapshot(snapshot)
+        try:
+            self.journal.save_snapshot(snapshot)
+        except errors.DiskFailed as error:
+            # The log holds all that the snapshot would; the next record tries again.
+            self.log.error("log: The disk refuses a snapshot.", reason=str(error))
+            return
         node.compact(index, state)
         self.log.info("log: A snapshot was taken.", index=index, bytes=len(state))
 
--- /dev/null
+++ b/brasstrail/roles/replication_test.py
@@ -0,0 +1,117 @@
+"""Tests of a replica whose disk refuses, with a real folder and real time."""
+
+import asyncio
+import tempfile
+import unittest
+
+import structlog
+
+from brasstrail.core import errors
+from brasstrail.protocol import codec, commands
+from brasstrail.roles import hub, replication
+from brasstrail.settings import settings
+from brasstrail.state import files
+from brasstrail.tools import ports
+
+PORTS = ports.Ports()
+SNAPSHOT_EVERY = 3
+LEAD_LIMIT_S = 5.0
+
+
+class RefusingFiles(files.Files):
+    """A disk that can refuse to put files in place."""
+
+    refuses = False
+
+    def replace(self, path, chunk):
+        if self.refuses:
+            raise errors.DiskFailed("The device is full.", "Free space.")
+        super().replace(path, chunk)
+
+
+class SnapshotTest(unittest.IsolatedAsyncioTestCase):
+    """Snapshots on a disk that is full for a while."""
+
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        loaded = settings.Settings(
+            settings.Node("c", ("control",), "one", "east", peer_port=PORTS.take()),
+            settings.Cluster("c", "a-secret-of-16-letters", ()),
+            control=settings.ControlRole(
+                folder.name, snapshot_every=SNAPSHOT_EVERY, initial_replicas=("c",)
+            ),
+        )
+        log = structlog.wrap_logger(None, processors=[drop_line])
+        self.hub = hub.Hub(loaded, 1, log)
+        self.addCleanup(self.hub.close)
+        self.applied = []
+        self.replication = replication.Replication(
+            self.hub, lambda entry, outcome: self.applied.append(entry), lambda _: None
+        )
+        self.disk = RefusingFiles()
+        self.replication.journal.disk = self.disk
+        self.replication.start()
+        self.addCleanup(self.replication.close)
+        await self.wait_until(lambda: self.replication.is_leader)
+
+    async def wait_until(self, check):
+        async with asyncio.timeout(LEAD_LIMIT_S):
+            while not check():
+                await asyncio.sleep(0.01)
+
+    async def commit(self, version):
+        """Commit one document."""
+        command = commands.ReplaceDocument(version, b"packed")
+        count = len(self.applied)
+        self.replication.propose(codec.encode(codec.COMMAND, command))
+        await self.wait_until(lambda: len(self.applied) > count)
+
+    async def test_a_refused_snapshot_stops_nothing_and_is_taken_later(self):
+        """Found by the soak, seed 4: the replica stood still for good."""
+        self.disk.refuses = True
+        for version in range(1, 2 * SNAPSHOT_EVERY):
+            await self.commit(version)
+        self.assertIsNone(self.replication.failed)
+        self.assertEqual(self.replication.journal.snapshot_paths(), [])
+        self.disk.refuses = False
+        await self.commit(100)
+        await self.wait_until(self.replication.journal.snapshot_paths)
+        self.assertEqual(self.replication.machine.document.version, 100)
+
+
+class TaskTest(unittest.IsolatedAsyncioTestCase):
+    """Tasks that a fault of the program ends."""
+
+    async def test_a_task_that_fails_is_logged(self):
+        lines = []
+        log = structlog.wrap_logger(
+            None, processors=[lambda _, __, event: lines.append(event) or drop()]
+        )
+        loaded = settings.Settings(
+            settings.Node("c", ("control",), "one", "east", peer_port=PORTS.take()),
+            settings.Cluster("c", "a-secret-of-16-letters", ()),
+        )
+        made = hub.Hub(loaded, 1, log)
+        self.addCleanup(made.close)
+
+        async def fail():
+            raise ValueError("a fault")
+
+        made.spawn(fail())
+        await asyncio.sleep(0.01)
+        self.assertIn("a fault", lines[0]["reason"])
+
+
+def drop_line(logger, method, event):
+    """Write no log in tests."""
+    drop()
+
+
+def drop():
+    """Leave a log line out."""
+    raise structlog.DropEvent
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/tools/bench_state.py
+++ b/brasstrail/tools/bench_state.py
@@ -56,7 +56,9 @@
             name=name, port=port, secret=cluster.SECRET, seeds=json.dumps(seeds)
         )
         loaded = settings.parse(text)
-        self.hub = hub.Hub(loaded, 1, logs.make_logger(loaded))
+        self.hub = hub.Hub(
+            loaded, 1, logs.make_logger(loaded, logs.make_output(loaded))
+        )
         member = data.Member(name, 1, ("agent",), f"127.0.0.1:{port}", "r", "d")
         self.attachment = attachment.Attachment(self.hub, member)
 
--- a/brasstrail/tools/pages.py
+++ b/brasstrail/tools/pages.py
@@ -10,11 +10,13 @@
 import click
 
 from brasstrail.core import errors
+from brasstrail.roles import measures, metrics
 from brasstrail.settings import settings
 from brasstrail.tools import capacity, cli
 
 SETTINGS_PATH = pathlib.Path("docs/SETTINGS.md")
 ERRORS_PATH = pathlib.Path("docs/ERRORS.md")
+METRICS_PATH = pathlib.Path("docs/METRICS.md")
 PAGE_WIDTH = 80
 COMMANDS_PATH = pathlib.Path("docs/COMMANDS.md")
 TABLES = (
@@ -56,6 +58,17 @@
 | code | status | meaning |
 |---|---|---|
 """
+METRICS_HEAD = """\
+# Metrics
+
+This page is generated from `roles/measures.py` by
+`python -m brasstrail.tools.pages`. `GET /metrics` at the port of `[metrics]` shows
+them as text. A latency is shown as the quantiles 0.5, 0.95 and 0.99 since the start
+of the process, and a count. A metric is shown once it has a value.
+
+| metric | kind | unit | labels | meaning |
+|---|---|---|---|---|
+"""
 
 
 def default_of(field):
@@ -120,7 +133,18 @@
     return COMMANDS_HEAD + "\n".join(lines) + "\n"
 
 
+def metrics_page():
+    """Return the page of all metrics."""
+    rows = [
+        f"| `{metrics.PREFIX}_{each.shown_name}` | {each.kind} | {each.unit} | "
+        f"{', '.join(each.labels)} | {each.meaning} |"
+        for each in measures.MEASURES
+    ]
+    return METRICS_HEAD + "\n".join(rows) + "\n"
+
+
 PAGES = {
+    METRICS_PATH: metrics_page,
     SETTINGS_PATH: settings_page,
     ERRORS_PATH: errors_page,
     COMMANDS_PATH: commands_page,
