--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -21,6 +21,11 @@
 HEARTBEAT_MS = 100
 ELECTION_MIN_MS = 600
 ELECTION_MAX_MS = 1100
+# A replica that has just started and hears no leader asks for one sooner: all may
+# have started together. Longer than a round trip between regions with its syncs.
+START_MS = 2500
+START_MIN_MS = 150
+START_MAX_MS = 400
 MAX_ENTRIES_PER_APPEND = 256
 STAMP_TERM_FACTOR = 1 << 32
 
@@ -123,6 +128,7 @@
         self.outbox = []
         self.durable_index = log.last_index
         self.pending_snapshot = None
+        self.started_ms = now_ms
         self.election_due_ms = 0
         self.reset_election(now_ms)
 
@@ -151,8 +157,10 @@
 
     def reset_election(self, now_ms):
         """Draw the time at which silence of the leader is too long."""
-        wait_ms = self.random.randint(ELECTION_MIN_MS, ELECTION_MAX_MS)
-        self.election_due_ms = now_ms + wait_ms
+        shortest_ms, longest_ms = ELECTION_MIN_MS, ELECTION_MAX_MS
+        if self.heard_leader_ms is None and now_ms - self.started_ms < START_MS:
+            shortest_ms, longest_ms = START_MIN_MS, START_MAX_MS
+        self.election_due_ms = now_ms + self.random.randint(shortest_ms, longest_ms)
 
     def tick(self, now_ms):
         """Note the time; start elections and heartbeats that are due."""
--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -26,6 +26,8 @@
 
 TICK_MS = 50
 # The users' bound on the time that a replacement may take.
+# Requests wait 1.5 s for a lease, which takes a round after the election.
+LEAD_AGAIN_MS = 1000
 CATCH_UP_MS = 4000
 SNAPSHOT_EVERY = 12
 WALK_EVENTS = 400
@@ -737,6 +739,24 @@
         self.assertEqual(cluster.leaders()[0].applied, [b"1", b"2"])
         self.assertEqual(cluster.acknowledged, [b"1", b"2"])
 
+    def test_hosts_that_start_again_together_have_a_leader_soon(self):
+        """Power came back everywhere; callers wait until there is a leader."""
+        elapsed_ms = sorted(self.time_to_lead_again(seed) for seed in range(20))
+        self.assertLess(elapsed_ms[10], raft.ELECTION_MIN_MS)
+        self.assertLess(elapsed_ms[-1], LEAD_AGAIN_MS)
+
+    def time_to_lead_again(self, seed):
+        """Return how long three hosts are without a leader that start together."""
+        cluster = Cluster(3, seed)
+        cluster.settle(40)
+        for host in cluster.hosts.values():
+            host.start(cluster.now_ms)
+        cluster.wires = []
+        begin_ms = cluster.now_ms
+        while not cluster.leaders():
+            cluster.settle(1)
+        return cluster.now_ms - begin_ms
+
     def test_a_blank_host_that_may_not_found_founds_nothing(self):
         cluster = Cluster(3, 1)
         for host in cluster.hosts.values():
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -11,6 +11,8 @@
 STOPPING_RETRY_S = 0.1
 CONTROL_RETRY_S = 1.0
 MIN_RETRY_S = 0.1
+# Refusals that end as soon as a control host confirms the gateway's lease.
+PASSING_REASONS = ("lease", "no_document")
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -26,6 +26,10 @@
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
 NO_SERVER_RETRY_S = 1.0
+# A request waits for the gateway's lease no longer than an election and a round
+# take, and leaves its caller most of its time.
+MAX_LEASE_WAIT_MS = 1500
+LEASE_WAIT_PART = 1 / 3
 # An answer that has begun goes before all that has not.
 BEGUN_RANK = (0, 0)
 
@@ -120,13 +124,34 @@
         except errors.BadRequest as error:
             raise refusals.Refused(400, error.code) from error
         self.body = body
-        self.admitted = admitting.admit(self.gateway, self.call, self.arrived_ms)
+        self.admitted = await self.admit()
         left_ms = self.admitted.deadline_ms + LAST_ANSWER_MS - clock.now_ms()
         try:
             return await asyncio.wait_for(self.bring_to_server(), left_ms / 1000)
         except asyncio.TimeoutError:
             return self.end_at_time_limit()
 
+    async def admit(self):
+        """Admit the request; wait for the lease where that is about to come.
+
+        A caller that is sent away meanwhile often has no further try.
+        """
+        try:
+            return admitting.admit(self.gateway, self.call, self.arrived_ms)
+        except refusals.Refused as refusal:
+            if refusal.reason not in admitting.PASSING_REASONS:
+                raise
+            begun_ms = clock.now_ms()
+            await self.gateway.wait_for_lease(self.lease_wait_ms())
+            self.waited_ms += clock.now_ms() - begun_ms
+        return admitting.admit(self.gateway, self.call, self.arrived_ms)
+
+    def lease_wait_ms(self):
+        """Return how long the request may wait for the lease."""
+        if self.call.deadline_ms is None:
+            return MAX_LEASE_WAIT_MS
+        return min(MAX_LEASE_WAIT_MS, LEASE_WAIT_PART * self.call.deadline_ms)
+
     def end_at_time_limit(self):
         """End what has no whole answer when its time is over."""
         if self.reply.head_sent:
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -23,6 +23,9 @@
 # The lease is renewed several times a second; a gateway without it for this long
 # does not ask for new callers.
 READY_LEASE_MS = 2500
+# A process that starts with all others has its lease within this time: they start
+# within a third of a second of one another, and then elect a leader.
+START_MS = 2000
 # A stopping gateway still takes requests while callers may still be sent to it: two
 # questions a second apart, and the time of one answer.
 TAKE_WHILE_STOPPING_MS = 2600
@@ -107,6 +110,8 @@
         self.running = {}
         self.held_bytes = 0
         self.stopping_ms = None
+        self.started_ms = now_ms
+        self.waiting_for_lease = set()
         self.swept_ms = now_ms
         self.http = None
         self.ready_http = None
@@ -174,6 +179,38 @@
         age_ms = self.subscription.lease_age_ms()
         return age_ms is not None and age_ms < self.settings.lease_ms
 
+    def is_lease_expected(self):
+        """Return whether a lease is likely to come soon.
+
+        It is after the start, and where it was lost only lately.
+        """
+        if clock.now_ms() - self.started_ms < START_MS:
+            return True
+        age_ms = self.subscription.lease_age_ms()
+        return age_ms is not None and age_ms < self.settings.lease_ms + START_MS
+
+    async def wait_for_lease(self, limit_ms):
+        """Wait until keys and routes may be acted on; return whether they may."""
+        if self.stopping_ms is not None or not self.is_lease_expected():
+            return False
+        renewed = self.hub.loop.create_future()
+        self.waiting_for_lease.add(renewed)
+        try:
+            await asyncio.wait_for(renewed, limit_ms / 1000)
+        except asyncio.TimeoutError:
+            return False
+        finally:
+            self.waiting_for_lease.discard(renewed)
+        return True
+
+    def lease_renewed(self):
+        """Go on with the requests that wait for the lease."""
+        if self.catalog is None or not self.has_lease():
+            return
+        for renewed in self.waiting_for_lease:
+            if not renewed.done():
+                renewed.set_result(None)
+
     def answer_ready(self, request):
         """Say whether callers should be sent here."""
         status = 503
@@ -211,6 +248,7 @@
             routes=len(decoded.routes),
             workspaces=len(decoded.workspaces),
         )
+        self.lease_renewed()
         self.start_turns()
 
     def apply_limits(self, limits):
@@ -257,8 +295,8 @@
         others = []
         for name, address, data_centre in told:
             if address != node.dialed_address:
-                is_near = node.regions.get(data_centre, node.region) == node.region
-                others.append(gossip.Peer(name, address, is_near))
+                region = node.regions.get(data_centre, node.region)
+                others.append(gossip.Peer(name, address, region))
         self.gossip.set_peers(others)
         self.allotments.set_peers([peer.name for peer in others], clock.now_ms())
         self.budget.gateways = len(others) + 1
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -336,9 +336,7 @@
 
     async def test_without_a_lease_no_key_is_served_and_none_is_denied(self):
         (server,) = await self.serve([scripted.reply()])
-        self.gateway.subscription.renewed_ms = (
-            clock.boot_ms() - self.settings.gateway.revoke_ms
-        )
+        self.lose_lease(10_000)
         for route, key in (("safe", "k"), ("safe", "other"), ("none", "k")):
             status, headers, _ = await self.call(route, key=key)
             self.assertEqual(status, 503)
@@ -347,6 +345,39 @@
         status, _, _ = await self.call("public", key="")
         self.assertEqual(status, 200)
 
+    def lose_lease(self, ago_ms):
+        """Make the gateway one that started and lost its lease so long ago."""
+        self.gateway.started_ms = clock.now_ms() - ago_ms
+        lease_ms = self.settings.gateway.lease_ms
+        self.gateway.subscription.renewed_ms = clock.boot_ms() - lease_ms - ago_ms
+
+    async def test_a_caller_at_the_start_waits_for_the_lease(self):
+        """All hosts start at once, and callers have one more try each."""
+        (server,) = await self.serve([scripted.reply()])
+        self.gateway.subscription.renewed_ms = None
+        calling = asyncio.ensure_future(self.call("safe", X_Deadline_Ms="3000"))
+        await asyncio.sleep(0.2)
+        self.assertFalse(calling.done())
+        self.renew_lease()
+        self.gateway.lease_renewed()
+        status, _, _ = await calling
+        self.assertEqual(status, 200)
+
+    async def test_no_lease_comes_and_the_caller_is_told_in_time(self):
+        self.gateway.subscription.renewed_ms = None
+        begun_ms = clock.now_ms()
+        status, headers, _ = await self.call("safe", X_Deadline_Ms="900")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertLess(clock.now_ms() - begun_ms, 600)
+
+    async def test_a_gateway_that_is_long_cut_off_refuses_at_once(self):
+        self.lose_lease(10_000)
+        begun_ms = clock.now_ms()
+        status, _, _ = await self.call("safe", X_Deadline_Ms="6000")
+        self.assertEqual(status, 503)
+        self.assertLess(clock.now_ms() - begun_ms, 200)
+
     async def test_a_removed_key_and_an_older_document(self):
         await self.serve([scripted.reply()])
         newer = {**DOCUMENT, "version": 5, "tenants": [{"name": "w", "api_keys": []}]}
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -181,10 +181,13 @@
         try:
             beats, self.beats = self.beats, []
             asked_ms = clock.now_ms()
-            if await self.reach_quorum():
-                self.confirmed_ms = asked_ms
-                for beat in beats:
-                    self.answer(beat)
+            if not await self.reach_quorum():
+                # A later round confirms them too: each counts from its sending.
+                self.beats = newest_beats(beats + self.beats)
+                return
+            self.confirmed_ms = asked_ms
+            for beat in beats:
+                self.answer(beat)
         finally:
             self.confirming = False
 
@@ -347,6 +350,12 @@
         return tuple(sorted(host for host in hosts if ":" in host))
 
 
+def newest_beats(beats):
+    """Return the newest beat of each follower."""
+    newest = {id(beat.follower): beat for beat in beats}
+    return list(newest.values())
+
+
 HANDLERS = {
     messages.Watch: Publisher.take_watch,
     messages.Gateways: Publisher.take_gateways,
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -13,6 +13,7 @@
 from brasstrail.core import errors, servers
 from brasstrail.protocol import messages
 from brasstrail.roles import daemon
+from brasstrail.roles import publisher as publisher_module
 from brasstrail.settings import settings
 from brasstrail.tools import ports
 
@@ -129,7 +130,9 @@
         for _ in range(30):
             counts = {each.gateway.budget.gateways for each in self.gateways}
             self.assertEqual(counts, {2})
-            peers = [each.gateway.gossip.near.addresses for each in self.gateways]
+            peers = [
+                each.gateway.gossip.near.members.addresses for each in self.gateways
+            ]
             self.assertEqual([len(addresses) for addresses in peers], [1, 1])
             await asyncio.sleep(0.1)
 
@@ -173,6 +176,34 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
 
+    async def test_a_beat_that_found_no_quorum_is_confirmed_by_the_next_round(self):
+        """All hosts start again together: gateways need their lease at once."""
+        publisher = self.controls[0].publisher
+        publisher.close()
+        for gateway in self.gateways:
+            gateway.gateway.subscription.close()
+        await until(lambda: not publisher.confirming)
+        answered = []
+        link = types.SimpleNamespace(connected=True, send=answered.append)
+        follower = publisher_module.Follower("g9", "a:1", "east", 0, link, 10**6)
+        publisher.beats = [
+            publisher_module.Beat(follower, 7),
+            publisher_module.Beat(follower, 8),
+        ]
+        reach_quorum = publisher.reach_quorum
+
+        async def fail():
+            return False
+
+        publisher.reach_quorum = fail
+        publisher.confirming = True
+        await publisher.confirm()
+        self.assertEqual(answered, [])
+        publisher.reach_quorum = reach_quorum
+        publisher.confirming = True
+        await publisher.confirm()
+        self.assertEqual([each.beat_id for each in answered], [8])
+
     async def test_control_hosts_tell_one_another_what_servers_said_only(self):
         control = self.controls[0].publisher.registry
         control.learn(make_announcement("i-4"), 0, False)
--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -173,6 +173,7 @@
         if current.document_version > self.gateway.document_version:
             return
         self.renewed_ms = max(self.renewed_ms or sent_ms, sent_ms)
+        self.gateway.lease_renewed()
         if first:
             self.hub.loop.call_later(1.0, self.prefer_near)
 
