Cross data centres once for each change as well

Of each other data centre of the region one gateway in turn is told and passes it on; a gateway reads at most 600 datagrams a second.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -296,7 +296,7 @@
         for name, address, data_centre in told:
             if address != node.dialed_address:
                 region = node.regions.get(data_centre, node.region)
-                others.append(gossip.Peer(name, address, region))
+                others.append(gossip.Peer(name, address, data_centre, region))
         self.gossip.set_peers(others)
         self.allotments.set_peers([peer.name for peer in others], clock.now_ms())
         self.budget.gateways = len(others) + 1
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -4,11 +4,12 @@
 travel together, and every second in any case. Nobody answers. A datagram that is
 late or comes twice changes nothing.
 
-The gateways of the own region are all told. Of each other region one is told, in
-turn, and passes the datagram on to those around it: the way between regions is long
-and narrow. A relay that is gone costs one datagram of several, and each holds the
-whole state. The more gateways there are, the longer changes are gathered, so that
-what a gateway sends does not grow with their number.
+The gateways of the own data centre are all told. Of each other data centre of the
+region, and of each other region, one is told, in turn, and passes the datagram on to
+those around it: the ways between are long, narrow and charged by the byte. A relay
+that is gone costs one datagram of several, and each holds the whole state. The more
+gateways there are, the longer changes are gathered, so that what a gateway sends and
+reads does not grow with their number.
 """
 
 import asyncio
@@ -24,7 +25,7 @@
 NEAR_GATHER_S = 0.02
 # About three times the way between regions.
 FAR_GATHER_S = 0.1
-# A twentieth of the smallest host's processor, by the cost of a datagram.
+# What a gateway reads of others: some percent of the smallest host's processor.
 MAX_DATAGRAMS_A_SECOND = 600
 # What workspaces have spent is covered by a slack of several seconds' worth.
 SPENT_INTERVAL_MS = 250
@@ -34,59 +35,109 @@
 
 @dataclasses.dataclass(frozen=True)
 class Peer:
-    """Another gateway and its region."""
+    """Another gateway, its data centre and its region."""
 
     name: str
     address: str
+    data_centre: str
     region: str
 
 
-class Near:
-    """The gateways of the own region, all of which are told."""
+class Places:
+    """Gateways by place, of which one a place is told in turn."""
 
     def __init__(self):
-        self.addresses = ()
-
-    @property
-    def gather_s(self):
-        """How long changes are gathered."""
-        return max(NEAR_GATHER_S, len(self.addresses) / MAX_DATAGRAMS_A_SECOND)
-
-    def next_targets(self):
-        """Return where the next datagram goes."""
-        return self.addresses
-
-
-class Far:
-    """The gateways of other regions, of which one a region is told in turn."""
-
-    def __init__(self):
-        self.regions = {}
+        self.by_place = {}
         self.turn = random.randrange(1000)
 
+    def put(self, place, address):
+        """Add a gateway."""
+        self.by_place.setdefault(place, []).append(address)
+
     @property
     def addresses(self):
         """All addresses of these gateways."""
-        return tuple(itertools.chain(*self.regions.values()))
-
-    @property
-    def gather_s(self):
-        """How long changes are gathered: each is passed on to a whole region."""
-        return max(FAR_GATHER_S, len(self.addresses) / MAX_DATAGRAMS_A_SECOND)
+        return tuple(itertools.chain(*self.by_place.values()))
 
-    def next_targets(self):
-        """Return where the next datagram goes."""
+    def next_addresses(self):
+        """Return one address of each place, another one each time."""
         self.turn += 1
         return tuple(
-            addresses[self.turn % len(addresses)] for addresses in self.regions.values()
+            addresses[self.turn % len(addresses)]
+            for addresses in self.by_place.values()
         )
 
 
+class Map:
+    """The other gateways, as one of them sees them.
+
+    Parameters
+    ----------
+    node : `settings.Node` of the process.
+    peers : `Peer`s.
+
+    Attributes
+    ----------
+    mates : the addresses in the own data centre.
+    centres : `Places` of the other data centres of the own region.
+    regions : `Places` of the other regions.
+    """
+
+    def __init__(self, node, peers):
+        mates = []
+        self.centres = Places()
+        self.regions = Places()
+        for peer in peers:
+            address = socket_address(peer)
+            if peer.region != node.region:
+                self.regions.put(peer.region, address)
+            elif peer.data_centre != node.data_centre:
+                self.centres.put(peer.data_centre, address)
+            else:
+                mates.append(address)
+        self.mates = tuple(mates)
+
+    def near_targets(self):
+        """Return where a datagram goes to reach the own region."""
+        return (*self.mates, *self.centres.next_addresses())
+
+    def far_targets(self):
+        """Return where a datagram goes to reach the other regions."""
+        return self.regions.next_addresses()
+
+    def near_gather_s(self):
+        """Return how long changes are gathered for the own region."""
+        count = len(self.mates) + len(self.centres.addresses)
+        return max(NEAR_GATHER_S, count / MAX_DATAGRAMS_A_SECOND)
+
+    def far_gather_s(self):
+        """Return how long changes are gathered for the other regions."""
+        count = len(self.regions.addresses)
+        return max(FAR_GATHER_S, count / MAX_DATAGRAMS_A_SECOND)
+
+    def relay_targets(self, source):
+        """Return to whom a datagram is passed on; None for a stranger's."""
+        if source in self.mates:
+            return ()
+        if source in self.centres.addresses:
+            return self.mates
+        if source in self.regions.addresses:
+            return self.near_targets()
+        return None
+
+
 class Group:
-    """Gateways that are told at the same times."""
+    """Gateways that are told at the same times.
 
-    def __init__(self, members):
-        self.members = members
+    Parameters
+    ----------
+    targets, gather_s : methods of the present map that tell where a datagram goes
+        and how long changes are gathered.
+    """
+
+    def __init__(self, targets, gather_s):
+        self.targets = targets
+        self.gather_s = gather_s
         self.is_due = False
         self.sent_ms = 0
         self.spent_ms = 0
@@ -105,8 +156,13 @@
         self.hub = hub
         self.gateway = gateway
         self.transport = None
-        self.near = Group(Near())
-        self.far = Group(Far())
+        self.map = Map(hub.settings.node, ())
+        self.near = Group(
+            lambda: self.map.near_targets(), lambda: self.map.near_gather_s()
+        )
+        self.far = Group(
+            lambda: self.map.far_targets(), lambda: self.map.far_gather_s()
+        )
         self.heard = {}
         self.number = 0
         self.datagrams = 0
@@ -132,19 +188,14 @@
 
     def set_peers(self, peers):
         """Take the other gateways."""
-        own = self.hub.settings.node.region
-        regions = {}
-        for peer in peers:
-            regions.setdefault(peer.region, []).append(socket_address(peer))
-        self.near.members.addresses = tuple(regions.pop(own, ()))
-        self.far.members.regions = regions
+        self.map = Map(self.hub.settings.node, peers)
 
     def send_soon(self):
         """Send the state once changes have been gathered."""
         for group in (self.near, self.far):
-            if group.members.addresses and not group.is_due:
+            if not group.is_due:
                 group.is_due = True
-                self.hub.loop.call_later(group.members.gather_s, self.send, group)
+                self.hub.loop.call_later(group.gather_s(), self.send, group)
 
     def tick(self):
         """Send the state where nothing was sent for a while."""
@@ -168,7 +219,7 @@
         if len(payload) > MAX_DATAGRAM_BYTES:
             self.hub.log.error("gossip: The state is too large.", bytes=len(payload))
             return
-        self.send_to(group.members.next_targets(), payload)
+        self.send_to(group.targets(), payload)
 
     def send_to(self, addresses, payload):
         """Send a datagram to several gateways."""
@@ -178,8 +229,8 @@
 
     def datagram_received(self, payload, address):
         """Take a peer's state unless a later one has come."""
-        is_far = address in self.far.members.addresses
-        if not is_far and address not in self.near.members.addresses:
+        targets = self.map.relay_targets(address)
+        if targets is None:
             return
         try:
             message = codec.decode_packed(codec.MESSAGE, payload)
@@ -192,8 +243,7 @@
         if order <= self.heard.get(message.name, (0, 0)):
             return
         self.heard[message.name] = order
-        if is_far:
-            self.send_to(self.near.members.addresses, payload)
+        self.send_to(targets, payload)
         self.gateway.take_state(message)
 
 
