--- a/brasstrail/platform/dialect.py
+++ b/brasstrail/platform/dialect.py
@@ -1,6 +1,8 @@
 """The platform's dialect, under the name `fleet`."""
 
-from brasstrail.platform import documents, headers, operators
+import importlib
+
+from brasstrail.platform import documents, headers
 from brasstrail.protocol import dialects
 
 
@@ -30,9 +32,13 @@
         """Return the headers of an answer of the system's own."""
         return headers.refusal_headers(call, retry_after_s)
 
-    def operator_routes(self, publisher):
-        """Return the routes of a control host."""
-        return operators.routes(publisher)
+    def operator_app(self, publisher):
+        """Return the application of a control host.
+
+        Gateways do without it, and loading it takes long on a small host.
+        """
+        operators = importlib.import_module("brasstrail.platform.operators")
+        return operators.make_app(publisher)
 
     def ready_path(self):
         """Return the path of the question whether a gateway is ready."""
--- a/brasstrail/platform/operators.py
+++ b/brasstrail/platform/operators.py
@@ -90,10 +90,15 @@
         self.send(200, b"{}")
 
 
-def routes(publisher):
-    """Return the routes of a control host."""
+def make_app(publisher):
+    """Return the application of a control host."""
     context = {"publisher": publisher}
-    return [
+    routes = [
         (r"/v1/configuration", ConfigurationHandler, context),
         (r"/v1/instances/([^/]+)", InstanceHandler, context),
     ]
+    return web.Application(routes, log_function=ignore_request)
+
+
+def ignore_request(handler):
+    """Leave the log to the handlers."""
--- a/brasstrail/protocol/dialects.py
+++ b/brasstrail/protocol/dialects.py
@@ -63,8 +63,8 @@
         """Return the headers of an answer of the system's own."""
         raise NotImplementedError
 
-    def operator_routes(self, publisher):
-        """Return the routes, as tornado wants them, of the control host's API."""
+    def operator_app(self, publisher):
+        """Return the application, as tornado wants it, of the control host's API."""
         raise NotImplementedError
 
     def ready_path(self):
--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -1,36 +1,30 @@
-"""The daemon: runs the roles that its settings name, in one process."""
+"""The daemon: runs the roles that its settings name, in one process.
+
+The modules of a role are loaded when the role is started: on a small host loading all
+of them takes a good part of the time between a start and the first request.
+"""
 
 import asyncio
 import contextlib
+import importlib
 import signal
 import sys
 
 import click
-from tornado import httpclient, httpserver
-from tornado import web as tornado_web
+from tornado import httpclient, httpserver, httputil
 
 import brasstrail
 import brasstrail.platform
 from brasstrail.core import clock, data, errors
 from brasstrail.protocol import dialects
-from brasstrail.roles import (
-    admin,
-    agent,
-    attachment,
-    control,
-    entry,
-    gateway,
-    hub,
-    logs,
-    metrics,
-    publisher,
-    web,
-)
+from brasstrail.roles import hub, logs, metrics
 from brasstrail.settings import settings
 
 DRAIN_POLL_S = 0.05
 MAX_ADMIN_BODY_BYTES = 8 * 1024 * 1024
 MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4"
 
 
 class Daemon:
@@ -68,7 +62,7 @@
         """Start listening and all roles."""
         self.start()
         if "gateway" in self.settings.node.roles:
-            self.gateway = gateway.Gateway(self.hub, self.metrics)
+            self.gateway = load_role("gateway").Gateway(self.hub, self.metrics)
             self.gateway.register_gauges()
             await self.gateway.start()
             self.stack.callback(self.gateway.close)
@@ -94,7 +88,7 @@
 
     def start_control(self):
         """Start the control role and the operators' API."""
-        self.control = control.Control(self.hub)
+        self.control = load_role("control").Control(self.hub)
         self.control.register_gauges(self.metrics)
         self.control.start()
         self.stack.callback(self.control.close)
@@ -106,44 +100,52 @@
     def start_publisher(self):
         """Serve gateways, operators of the document and announcements."""
         options = self.settings.control
+        publisher = load_role("publisher")
         self.publisher = publisher.Publisher(self.hub, self.control, self.metrics)
         self.publisher.start()
         self.stack.callback(self.publisher.close)
         dialect = dialects.find(options.dialect)
-        app = tornado_web.Application(
-            dialect.operator_routes(self.publisher), log_function=ignore_request
-        )
+        app = dialect.operator_app(self.publisher)
         server = httpserver.HTTPServer(app, max_body_size=MAX_DOCUMENT_BYTES)
         listen(server, options.document_address)
         self.stack.callback(server.stop)
 
     def serve_metrics(self):
         """Serve the metrics as text."""
-        app = tornado_web.Application(
-            [(r"/metrics", MetricsHandler, {"recorded": self.metrics})],
-            log_function=ignore_request,
-        )
-        server = httpserver.HTTPServer(app)
+        server = httpserver.HTTPServer(self.answer_metrics)
         server.listen(self.settings.metrics.port, self.settings.node.address)
         self.stack.callback(server.stop)
 
+    def answer_metrics(self, request):
+        """Send all metrics as text, or say that there is nothing else."""
+        is_known = request.path == METRICS_PATH
+        status = 200 if is_known else 404
+        body = self.metrics.render().encode() if is_known else b""
+        headers = httputil.HTTPHeaders(
+            {"Content-Type": METRICS_TYPE, "Content-Length": str(len(body))}
+        )
+        start_line = httputil.ResponseStartLine("", status, httputil.responses[status])
+        request.connection.write_headers(start_line, headers, body)
+        request.connection.finish()
+
     def start_admin(self):
         """Start the operators' API."""
+        admin = load_role("admin")
         role = admin.Admin(self.hub, self.control, self.metrics)
-        app = web.make_app(role, admin.ROUTES)
+        app = load_role("web").make_app(role, admin.ROUTES)
         server = httpserver.HTTPServer(app, max_body_size=MAX_ADMIN_BODY_BYTES)
         server.listen(self.settings.control.admin_port, self.settings.node.address)
         self.stack.callback(server.stop)
 
     def start_members(self, roles):
         """Start the roles that attach to a control host."""
-        joined = attachment.Attachment(self.hub, self.make_member(roles))
+        joined = load_role("attachment").Attachment(self.hub, self.make_member(roles))
         if "agent" in roles:
-            self.agent = agent.Agent(self.hub, joined)
+            self.agent = load_role("agent").Agent(self.hub, joined)
             self.agent.start()
             self.stack.callback(self.agent.close)
         if "entry" in roles:
-            self.entry = entry.Entry(self.hub, joined)
+            self.entry = load_role("entry").Entry(self.hub, joined)
             self.entry.start_serving()
             self.stack.callback(self.entry.close)
         joined.start()
@@ -226,21 +228,9 @@
     server.listen(int(port), host)
 
 
-class MetricsHandler(tornado_web.RequestHandler):
-    """Serves the metrics of the process."""
-
-    def initialize(self, recorded):
-        """Keep what is shown."""
-        self.recorded = recorded
-
-    def get(self):
-        """Send all metrics as text."""
-        self.set_header("Content-Type", "text/plain; version=0.0.4")
-        self.finish(self.recorded.render())
-
-
-def ignore_request(handler):
-    """Leave the log to the handlers."""
+def load_role(name):
+    """Return the module of a role, loaded now where it was not yet."""
+    return importlib.import_module(f"brasstrail.roles.{name}")
 
 
 async def run(loaded, path):
--- /dev/null
+++ b/brasstrail/roles/daemon_load_test.py
@@ -0,0 +1,28 @@
+"""A test of what the start of a role loads."""
+
+import subprocess
+import sys
+import unittest
+
+NOT_NEEDED = ("tornado.web", "brasstrail.roles.control", "brasstrail.roles.entry")
+SCRIPT = """
+import sys
+from brasstrail.roles import daemon
+daemon.load_role("gateway")
+print([name for name in {names!r} if name in sys.modules])
+"""
+
+
+class LoadTest(unittest.TestCase):
+    """After a loss of power callers wait for the slowest host's start."""
+
+    def test_a_gateway_loads_no_other_role(self):
+        script = SCRIPT.format(names=NOT_NEEDED)
+        done = subprocess.run(
+            [sys.executable, "-c", script], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(done.stdout.strip(), "[]")
+
+
+if __name__ == "__main__":
+    unittest.main()
