Know the servers as soon as there is a quorum after a start

Now they learn it and only withhold the acknowledgement, a request waits for servers to be heard shortly after its gateway's start, and a replica shows itself as soon as a link is up. Tests for both.

--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -24,8 +24,8 @@
 # A replica that has just started and hears no leader asks for one sooner: all may
 # have started together. Longer than a round trip between regions with its syncs.
 START_MS = 2500
-START_MIN_MS = 150
-START_MAX_MS = 400
+START_MIN_MS = 100
+START_MAX_MS = 300
 MAX_ENTRIES_PER_APPEND = 256
 STAMP_TERM_FACTOR = 1 << 32
 
--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -245,6 +245,7 @@
             return
         self.phase = Phase.MEMBER
         self.raft.may_vote = True
+        self.raft.reset_election(now_ms)
 
     # Replacing replicas.
 
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -224,13 +224,12 @@
         """Return the choice of a server; raise `Refused` where none is in time."""
         gateway = self.gateway
         now_ms = clock.now_ms()
-        if not gateway.pool.has_servers(work.service):
-            raise self.refusal("no_server", NO_SERVER_RETRY_S)
-        last_ms = self.first_answer_by_ms() - self.service_ms(work)
+        last_ms = self.start_by_ms(work)
         if self.reply.head_sent:
             work = dataclasses.replace(work, rank=BEGUN_RANK)
-        elif now_ms + gateway.pool.expected_wait_ms(work, now_ms) > last_ms:
-            raise self.refusal("overload", self.retry_after_s())
+        elif gateway.pool.has_servers(work.service):
+            if now_ms + gateway.pool.expected_wait_ms(work, now_ms) > last_ms:
+                raise self.refusal("overload", self.retry_after_s())
         choice = await gateway.wait_for_turn(
             work, frozenset(self.tried), max(1, last_ms - now_ms)
         )
@@ -243,6 +242,18 @@
         self.log_choice(choice)
         return choice
 
+    def start_by_ms(self, work):
+        """Return when a server must have been bound at the latest.
+
+        Raises `Refused` where no server is known and none is about to be heard.
+        """
+        last_ms = self.first_answer_by_ms() - self.service_ms(work)
+        if self.gateway.pool.has_servers(work.service):
+            return last_ms
+        if not self.gateway.is_learning_servers():
+            raise self.refusal("no_server", NO_SERVER_RETRY_S)
+        return min(last_ms, clock.now_ms() + self.lease_wait_ms())
+
     def refusal(self, reason, retry_after_s):
         """Return the refusal that says truly whether the request has run."""
         status = 502 if self.may_have_run else 503
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -26,6 +26,8 @@
 # A process that starts with all others has its lease within this time: they start
 # within a third of a second of one another, and then elect a leader.
 START_MS = 2000
+# Every backend server has announced itself within this time, the users' beat.
+MAX_ANNOUNCE_MS = 1200
 # A stopping gateway still takes requests while callers may still be sent to it: two
 # questions a second apart, and the time of one answer.
 TAKE_WHILE_STOPPING_MS = 2600
@@ -189,6 +191,13 @@
         age_ms = self.subscription.lease_age_ms()
         return age_ms is not None and age_ms < self.settings.lease_ms + START_MS
 
+    def is_learning_servers(self):
+        """Return whether some servers may not have been heard since the start.
+
+        They announce themselves within about a second of one another.
+        """
+        return clock.now_ms() - self.started_ms < START_MS + MAX_ANNOUNCE_MS
+
     async def wait_for_lease(self, limit_ms):
         """Wait until keys and routes may be acted on; return whether they may."""
         if self.stopping_ms is not None or not self.is_lease_expected():
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -363,6 +363,23 @@
         status, _, _ = await calling
         self.assertEqual(status, 200)
 
+    async def test_a_caller_at_the_start_waits_for_servers_to_be_heard(self):
+        """Control hosts that start anew know no server for a second."""
+        calls = [self.call("safe", X_Deadline_Ms="3000") for _ in range(8)]
+        calling = asyncio.ensure_future(asyncio.gather(*calls))
+        await asyncio.sleep(0.2)
+        self.assertFalse(calling.done())
+        await self.serve([scripted.reply()])
+        self.assertEqual([status for status, _, _ in await calling], 8 * [200])
+
+    async def test_a_service_without_servers_refuses_at_once_later(self):
+        self.gateway.started_ms = clock.now_ms() - 10_000
+        begun_ms = clock.now_ms()
+        status, headers, _ = await self.call("safe", X_Deadline_Ms="3000")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertLess(clock.now_ms() - begun_ms, 200)
+
     async def test_no_lease_comes_and_the_caller_is_told_in_time(self):
         self.gateway.subscription.renewed_ms = None
         begun_ms = clock.now_ms()
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -170,6 +170,8 @@
         self.assertEqual(reply.code, 503)
         with self.assertRaises(errors.NoQuorum):
             self.controls[0].publisher.registry.announce(make_announcement("i-2"))
+        learned = self.controls[0].publisher.registry.directory.known
+        self.assertIn("i-2", learned)
         renewed = self.gateways[0].gateway.subscription.renewed_ms
         await asyncio.sleep(1.0)
         self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -69,21 +69,23 @@
     def announce(self, announcement):
         """Take a server's announcement and pass on what is new in it.
 
-        Raises `errors.NoQuorum` where this host could not pass it on.
+        It is learned in any case, so that all servers are known as soon as there is
+        a quorum again. Raises `errors.NoQuorum` where this host may not acknowledge
+        it, since it could be the only one that knows.
         """
-        self.publisher.check_confirmed()
         self.learn(announcement, clock.now_ms(), to_peers=True)
+        self.publisher.check_confirmed()
 
     def withdraw(self, identity, born_ms):
-        """Take a server's last word.
+        """Take a server's last word, as `announce` does.
 
         `born_ms` is the start that it speaks of, or None where it does not say.
         """
-        self.publisher.check_confirmed()
         ended = servers.Announcement(
             identity, "", "", "", servers.ServerPhase.GONE, born_ms or 0, 0
         )
         self.learn(ended, clock.now_ms(), to_peers=True)
+        self.publisher.check_confirmed()
 
     def learn(self, announcement, heard_ms, to_peers):
         """Take what was heard; pass on what is new."""
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -165,6 +165,8 @@
         """Remember the way to another control host that this one dialed."""
         if link.address:
             self.peers[link.name] = link
+            self.replica.next_probe_ms = 0
+            self.wake.set()
 
     def note_peer(self, link):
         """Remember the way to a control host that dialed this one.
