--- a/brasstrail/tools/cli.py
+++ b/brasstrail/tools/cli.py
@@ -15,7 +15,8 @@
 import brasstrail
 from brasstrail.core import errors
 from brasstrail.roles import access
-from brasstrail.tools import client, logreader
+from brasstrail.tools import client, datafolder, logreader
+from brasstrail.tools import report as reporting
 
 INDENTED = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
 SHELLS = ("bash", "zsh", "fish")
@@ -364,6 +365,30 @@
         click.echo(logreader.render(line))
 
 
+@main.command()
+@click.option("--out", default="report.svg", help="The picture: .svg, .png or .pdf.")
+@click.argument("files", nargs=-1, required=True, type=click.File())
+def report(out, files):
+    """Draw what became of requests, by second and tier, from the logs in FILES.
+
+    It needs matplotlib, which the project's `dev` extra brings.
+    """
+    for row in reporting.make(files, out):
+        click.echo(row)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--export", type=click.Path(), help="Write the document to this file.")
+def state(folder, export):
+    """Show and verify the data FOLDER of a control host that does not run."""
+    shown = datafolder.read(folder)
+    for row in datafolder.describe(shown):
+        click.echo(row)
+    if export:
+        datafolder.export_document(shown, export)
+
+
 @main.command()
 def token():
     """Make a token and the hash that the settings keep of it."""
--- /dev/null
+++ b/brasstrail/tools/datafolder.py
@@ -0,0 +1,105 @@
+"""Shows and verifies the data folder of a control host, without changing it.
+
+`journal.load` cuts torn writes off and opens a new segment; here files are only read,
+so that a folder can be looked at after a failure and then be used as it is.
+"""
+
+import dataclasses
+import pathlib
+
+from brasstrail.core import errors
+from brasstrail.protocol import codec, commands, snapshots
+from brasstrail.state import documents, journal, machine
+
+
+@dataclasses.dataclass(frozen=True)
+class Folder:
+    """What a data folder holds. `torn` are (path, bytes) of writes cut short."""
+
+    identity: snapshots.Identity | None
+    hard_state: snapshots.HardState
+    snapshot: snapshots.SnapshotFile | None
+    entries: tuple
+    torn: tuple
+    document: documents.Holder
+
+    @property
+    def last_index(self):
+        """The index of the last record."""
+        if self.entries:
+            return self.entries[-1].index
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def voters(self):
+        """The replicas that vote, by the newest record that names them."""
+        for entry in reversed(self.entries):
+            if entry.voters:
+                return entry.voters
+        if self.snapshot:
+            return self.snapshot.voters
+        return self.identity.founders if self.identity else ()
+
+
+def read(path):
+    """Return the `Folder` at a path; raise `errors.CorruptFile` where it is damaged."""
+    path = pathlib.Path(path)
+    held = journal.Journal(path)
+    identity = held.read_identity()
+    snapshot = held.load_snapshot()
+    entries = {}
+    torn = []
+    for number, segment in held.segment_paths():
+        payloads, torn_bytes = journal.read_records(segment, segment.read_bytes())
+        if torn_bytes:
+            torn.append((segment, torn_bytes))
+        for payload in payloads:
+            held.take_record(number, codec.decode(codec.JOURNAL, payload), entries)
+    joined = journal.join_entries(entries, snapshot)
+    if joined is None:
+        raise journal.corrupt(path, 0)
+    document = newest_document(snapshot, joined)
+    return Folder(identity, held.hard_state, snapshot, joined, tuple(torn), document)
+
+
+def newest_document(snapshot, entries):
+    """Return the document of the highest version, in the snapshot or after it."""
+    restored = machine.Machine()
+    restored.restore(snapshot.state if snapshot else b"")
+    document = restored.document
+    for entry in entries:
+        if not entry.command:
+            continue
+        command = codec.decode(codec.COMMAND, entry.command)
+        if isinstance(command, commands.ReplaceDocument):
+            document.replace(command)
+    return document
+
+
+def describe(folder):
+    """Return lines of text on a folder.
+
+    Whether the records after the snapshot are committed, one folder cannot tell.
+    """
+    identity = folder.identity
+    rows = [
+        f"replica      {identity.name}/{identity.disk}" if identity else "blank",
+        f"cluster      {identity.cluster_id if identity else ''}",
+        f"term, vote   {folder.hard_state.term}, {folder.hard_state.vote or 'none'}",
+        f"snapshot     {folder.snapshot.index if folder.snapshot else 'none'}",
+        f"records      {len(folder.entries)}, the last is {folder.last_index}",
+        f"voters       {', '.join(voter.name for voter in folder.voters)}",
+        f"document     version {folder.document.version}",
+    ]
+    for path, torn_bytes in folder.torn:
+        rows.append(f"torn write   {torn_bytes} bytes at the end of {path.name}")
+    rows.append("checksums    all whole frames are right")
+    return rows
+
+
+def export_document(folder, path):
+    """Write the newest document as its operator sent it."""
+    if not folder.document.version:
+        raise errors.NotFound("The folder holds no document.", "Try another host's.")
+    body = documents.unpack(folder.document.packed)
+    pathlib.Path(path).write_bytes(body)
