Let no late answer end the replica's task

Cause: a name that was used for a future and for a metric's label since; an outcome that came after its time met the label, and the error ended the task that drives the replica. Now the names differ, and a callback that fails is logged and ends nothing else. Two tests failed before.

--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -253,7 +253,8 @@
             self.batch.append(codec.encode(codec.COMMAND, outcome.command))
         for pending in self.proposals.pop(entry.index, []):
             committed = pending.term == entry.term
-            pending.answer(messages.Outcome("", committed, outcome.result))
+            result = messages.Outcome("", committed, outcome.result)
+            self.hub.call_back(pending.answer, result)
 
     def batch_applied(self, restored):
         """Send the members what has changed, and answer what waited for it."""
@@ -267,7 +268,7 @@
         self.batch = []
         self.reads.answer_lookups()
         for listener in self.listeners:
-            listener()
+            self.hub.call_back(listener)
 
     def publish(self, message):
         """Send a message to every attached member, encoded once."""
--- a/brasstrail/roles/hub.py
+++ b/brasstrail/roles/hub.py
@@ -179,6 +179,13 @@
         self.tasks.add(task)
         task.add_done_callback(self.task_ended)
 
+    def call_back(self, callback, *arguments):
+        """Call somebody back; a fault there is logged and ends nothing else."""
+        try:
+            callback(*arguments)
+        except Exception as error:
+            self.log.error("hub: A callback failed.", reason=repr(error))
+
     def task_ended(self, task):
         """Forget a task; one that a fault of the program ended is logged."""
         self.tasks.discard(task)
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -235,15 +235,15 @@
         """
         arrived_ms = clock.now_ms()
         command = commands.ReplaceDocument(version, documents.pack(body))
-        outcome = self.hub.loop.create_future()
+        waited = self.hub.loop.create_future()
 
         def answer(result):
-            if not outcome.done():
-                outcome.set_result(result)
+            if not waited.done():
+                waited.set_result(result)
 
         self.control.submit(codec.encode(codec.COMMAND, command), answer)
         try:
-            result = await asyncio.wait_for(outcome, COMMIT_TIMEOUT_S)
+            result = await asyncio.wait_for(waited, COMMIT_TIMEOUT_S)
         except asyncio.TimeoutError:
             result = messages.Outcome("", False, b"")
         self.log.info(
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -5,6 +5,7 @@
 import tempfile
 import types
 import unittest
+import unittest.mock
 
 import orjson
 import structlog
@@ -12,6 +13,7 @@
 
 from brasstrail.core import errors, servers
 from brasstrail.protocol import messages
+from brasstrail.roles import control as control_module
 from brasstrail.roles import daemon
 from brasstrail.roles import publisher as publisher_module
 from brasstrail.settings import settings
@@ -176,6 +178,37 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
 
+    async def test_an_answer_after_its_time_ends_nothing(self):
+        """Found by the soak, seed 24: it ended the task of the replica."""
+        publisher = self.controls[0].publisher
+        answers = []
+        submit, publisher.control.submit = (
+            publisher.control.submit,
+            lambda payload, answer: answers.append(answer),
+        )
+        self.addCleanup(setattr, publisher.control, "submit", submit)
+        with unittest.mock.patch.object(publisher_module, "COMMIT_TIMEOUT_S", 0.01):
+            with self.assertRaises(errors.NoQuorum):
+                await publisher.replace_document(4, orjson.dumps(DOCUMENT))
+        answers[0](messages.Outcome("", True, b""))
+
+    async def test_a_callback_that_fails_does_not_stop_the_replica(self):
+        control = self.controls[0].control
+
+        def fail(*arguments):
+            raise AttributeError("a fault")
+
+        control.listeners.append(fail)
+        pending = control_module.Pending(fail, 10**12, 1)
+        index = control.machine.index + 1
+        control.proposals[index] = [pending]
+        body = orjson.dumps(DOCUMENT)
+        for version in (4, 5):
+            body = orjson.dumps({**DOCUMENT, "version": version})
+            reply = await self.call(self.controls[1], "PUT", "/v1/configuration", body)
+            self.assertEqual(reply.code, 200)
+        await until(lambda: self.controls[0].publisher.document.version == 5)
+
     async def test_a_beat_that_found_no_quorum_is_confirmed_by_the_next_round(self):
         """All hosts start again together: gateways need their lease at once."""
         publisher = self.controls[0].publisher
