--- a/brasstrail/tools/capacity.py
+++ b/brasstrail/tools/capacity.py
@@ -44,6 +44,12 @@
 ONCE_SHARE = 0.05
 COMMANDS_A_KEY = 3
 TOKEN_BYTES = 200
+# What a gateway reads of others at most, and how many servers it has work on.
+DATAGRAMS_A_SECOND = 600
+SERVERS_WITH_WORK = 8
+DATAGRAM_HEAD_BYTES = 28
+# Choices for each request: one at once, and one more where it has to wait.
+CHOICES_A_REQUEST = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -182,6 +188,43 @@
             ),
         ]
 
+    def gateway_rows(self):
+        """Return the rows of the gateway role, where each knows all servers."""
+        told_bytes = self.cost("gossip_bytes", SERVERS_WITH_WORK) + DATAGRAM_HEAD_BYTES
+        taking = self.cost("gossip_taken", AGENTS) * DATAGRAMS_A_SECOND
+        choosing = self.cost("server_chosen", AGENTS) * self.requests_an_entry
+        gather_s = ENTRIES / DATAGRAMS_A_SECOND
+        return [
+            cores(
+                "choosing servers",
+                f"{self.requests_an_entry:.1f} requests/s, {AGENTS:,} servers known",
+                choosing * CHOICES_A_REQUEST,
+                1.0,
+                "all servers are looked at; has to become a subset of them",
+            ),
+            cores(
+                "control: hearing of other gateways",
+                f"{DATAGRAMS_A_SECOND} datagrams/s, {AGENTS:,} servers known",
+                taking,
+                CORE_SHARE,
+                "changes are gathered for longer; has to become groups of gateways",
+            ),
+            bandwidth(
+                "control: what is heard of other gateways",
+                f"{DATAGRAMS_A_SECOND} datagrams/s",
+                told_bytes * DATAGRAMS_A_SECOND / KILOBYTE,
+                "relays in each data centre and region; each change crosses once",
+            ),
+            Row(
+                "age of the counts of places",
+                f"{ENTRIES:,} gateways",
+                f"{gather_s:.1f} s",
+                "a fraction of the shortest hold, 0.3 s",
+                verdict(gather_s <= 0.1),
+                "servers divided among groups of gateways, not built",
+            ),
+        ]
+
     def agent_rows(self):
         """Return the rows of the agent role."""
         relayed = self.bench["agent us of processor a token"]
@@ -399,8 +442,9 @@
 
 This page is computed by `python -m brasstrail.tools.pages` from
 `docs/slopes.json`, which `make slopes` measures. No figure is typed by hand, and
-a test fails when page and data differ. All measurements are of one machine with
-six cores, with stand-ins in one process; costs are processor time.
+a test fails when page and data differ. The measurements are of one machine with six
+cores, those of gateways of one with eight that ran other work beside; they are taken
+with stand-ins in one process, and costs are processor time.
 
 ## The size
 
@@ -420,6 +464,10 @@
 
 {entry}
 
+## Gateway
+
+{gateway}
+
 ## Agent
 
 {agent}
@@ -497,6 +545,7 @@
         once=ONCE_SHARE,
         entry=format_table(entry),
         agent=format_table(agent),
+        gateway=format_table(made.gateway_rows()),
         control=format_table(control),
         entry_token=entry_token,
         agent_token=agent_token,
--- a/brasstrail/tools/slopes.py
+++ b/brasstrail/tools/slopes.py
@@ -17,9 +17,10 @@
 
 import click
 
-from brasstrail.coordination import admission, scheduler
-from brasstrail.core import data
+from brasstrail.coordination import admission, pool, scheduler
+from brasstrail.core import catalog, data, servers
 from brasstrail.protocol import codec, commands, messages, session
+from brasstrail.settings import settings
 from brasstrail.state import ledger, machine, view
 from brasstrail.transport import frames
 
@@ -27,6 +28,8 @@
 KILOBYTE = 1024
 MICROSECONDS = 1e6
 MIN_TIME_S = 0.2
+# The servers that a gateway has work on at a time, as on the users' deployments.
+SHARES_TOLD = 5
 MEASURES = {}
 
 
@@ -446,6 +449,67 @@
     return microseconds(offer_one)
 
 
+# Gateways.
+
+
+def make_pool(size):
+    """Return the pool of a gateway that knows so many engines."""
+    node = settings.Node("g", ("gateway",), "one", "east", regions={})
+    made = pool.Pool(node, {})
+    made.configure([catalog.Service("s", 9, "", catalog.Engine(5, 10**5, 5.0))])
+    for number in range(size):
+        announcement = servers.Announcement(
+            f"i-{number:010x}", "s", "a:1", "east", servers.ServerPhase.READY, 1, 1, 5
+        )
+        made.put_server(announcement, False)
+    return made
+
+
+def make_gateway_state(size):
+    """Return what a gateway tells that runs work on so many servers."""
+    shares = tuple(
+        messages.ServerShare(f"i-{number:010x}", 2, 2000, 300) for number in range(size)
+    )
+    spent = tuple(messages.Spent(f"w{number}", 1000.0) for number in range(5))
+    return messages.GatewayState("gateway-10.1.0.17", 1, 7, shares, spent)
+
+
+@measure("What a gateway tells another", "servers with work", "bytes", (1, 8, 64))
+def gossip_bytes(size):
+    return len(codec.encode_packed(codec.MESSAGE, make_gateway_state(size)))
+
+
+@measure("Telling it, once encoded for all", "servers with work", "us", (1, 8, 64))
+def gossip_sent(size):
+    state = make_gateway_state(size)
+    return microseconds(lambda: codec.encode_packed(codec.MESSAGE, state))
+
+
+@measure("Taking what a gateway tells", "servers known", "us", (16, 64, 256))
+def gossip_taken(size):
+    made = make_pool(size)
+    payload = codec.encode_packed(codec.MESSAGE, make_gateway_state(SHARES_TOLD))
+
+    def hear():
+        message = codec.decode_packed(codec.MESSAGE, payload)
+        shares = {
+            share.identity: pool.Share(
+                share.running, share.input_tokens, share.output_tokens
+            )
+            for share in message.shares
+        }
+        made.hear(message.name, shares, 0)
+
+    return microseconds(hear)
+
+
+@measure("Choosing a server at a gateway", "servers known", "us", (16, 64, 256))
+def server_chosen(size):
+    made = make_pool(size)
+    work = pool.Work("r", "s", (1, 1), 0, 1000, 6000, 2000, 50)
+    return microseconds(lambda: made.choose(work, (), 0))
+
+
 def take(name):
     """Return one measured slope."""
     what, size_unit, cost_unit, sizes, function = MEASURES[name]
@@ -458,29 +522,30 @@
 
 @click.command()
 @click.option("--out", type=click.Path(), default=str(OUT_PATH))
-@click.option("--bench", type=click.Path(exists=True), required=True)
-@click.option("--state", type=click.Path(exists=True), required=True)
-def main(out, bench, state):
-    """Measure all slopes and write them to a file.
+@click.option("--bench", type=click.Path(exists=True))
+@click.option("--state", type=click.Path(exists=True))
+@click.option("--only", multiple=True, help="Measure only this one; may be repeated.")
+def main(out, bench, state, only):
+    """Measure slopes and write them to a file.
 
     The figures of the whole path and of the replicated state are taken over
-    from the files that their benchmarks wrote.
+    from the files that their benchmarks wrote. What is not measured now stays in
+    the file as it was.
     """
-    taken = {}
-    for name in MEASURES:
+    path = pathlib.Path(out)
+    table = json.loads(path.read_text()) if path.exists() else {"slopes": {}}
+    for name in only or MEASURES:
         slope = take(name)
-        taken[name] = dataclasses.asdict(slope)
+        table["slopes"][name] = dataclasses.asdict(slope)
         click.echo(
             f"{slope.what}: {slope.intercept:.1f} + {slope.slope:.4f} "
             f"{slope.cost_unit} a {slope.size_unit}, "
             f"largest residual {slope.residual:.0%}"
         )
-    table = {
-        "slopes": taken,
-        "bench": json.loads(pathlib.Path(bench).read_text()),
-        "state": json.loads(pathlib.Path(state).read_text()),
-    }
-    pathlib.Path(out).write_text(json.dumps(table, indent=1) + "\n")
+    for name, source in (("bench", bench), ("state", state)):
+        if source:
+            table[name] = json.loads(pathlib.Path(source).read_text())
+    path.write_text(json.dumps(table, indent=1) + "\n")
 
 
 if __name__ == "__main__":
