--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -22,6 +22,8 @@
 # slack with each allotment, here two seconds' worth.
 SMALL_SLACK = 20.0
 KEYS_IN_FORCE = 2
+# How often an operator sends an earlier document again, as a delayed change would be.
+RESENT_PART = 0.25
 
 
 class Load:
@@ -42,6 +44,7 @@
         self.seen = seen
         self.number = 0
         self.version = 0
+        self.documents = []
         self.stopped = False
         seen.allotted = (SMALL, SMALL_RATE, SMALL_BURST, SMALL_SLACK)
 
@@ -121,8 +124,16 @@
         """Send documents until the load is stopped."""
         while not self.stopped:
             await self.change()
+            if self.random.random() < RESENT_PART:
+                await self.resend()
             await asyncio.sleep(self.random.uniform(0.3, 2.5))
 
+    async def resend(self):
+        """Send an earlier document once more; it must change nothing."""
+        document = self.random.choice(self.documents)
+        host = self.random.choice(self.controls)
+        await fleetcalls.put_document(host, document, OPERATOR_LIMIT_S)
+
     async def change(self):
         """Send the next document until it is acknowledged or given up."""
         self.version += self.random.randint(1, 3)
@@ -134,6 +145,7 @@
             fleetcalls.Workspace("changing", tuple(held)),
         )
         document = fleetcalls.make_document(version, workspaces)
+        self.documents.append(document)
         keys = frozenset(key for each in workspaces for key in each.keys)
         sent_at = time.time()
         place = len(self.seen.documents)
