--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -22,6 +22,9 @@
 # slack with each allotment, here two seconds' worth.
 SMALL_SLACK = 20.0
 KEYS_IN_FORCE = 2
+# Keys of so many versions ago: some just removed, some that must be long dead.
+YOUNG_KEYS = range(4)
+OLD_KEYS = range(10, 31)
 # How often an operator sends an earlier document again, as a delayed change would be.
 RESENT_PART = 0.25
 
@@ -91,7 +94,8 @@
             return "key-steady"
         if kind < 0.8:
             return "key-small"
-        return f"key-{max(0, self.version - self.random.randint(0, 3))}"
+        ages = OLD_KEYS if kind > 0.95 else YOUNG_KEYS
+        return f"key-{max(0, self.version - self.random.choice(ages))}"
 
     async def burst(self, seconds):
         """Let as many callers again call for a while."""
