--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -26,9 +26,9 @@
 
 TICK_MS = 50
 # The users' bound on the time that a replacement may take.
+CATCH_UP_MS = 4000
 # Requests wait 1.5 s for a lease, which takes a round after the election.
 LEAD_AGAIN_MS = 1000
-CATCH_UP_MS = 4000
 SNAPSHOT_EVERY = 12
 WALK_EVENTS = 400
 # Each event of a random walk and how often it comes, relative to the others.
