Name the cluster before anything else is put into its log

The leader named the cluster on its tick; a change that was submitted before that tick came first in the log.

--- a/brasstrail/roles/attachment_test.py
+++ b/brasstrail/roles/attachment_test.py
@@ -10,7 +10,7 @@
 from tornado import testing
 
 from brasstrail.core import data, errors
-from brasstrail.protocol import commands, messages
+from brasstrail.protocol import codec, commands, messages
 from brasstrail.roles import attachment, daemon, hub
 from brasstrail.settings import settings
 from brasstrail.tools import ports
@@ -153,6 +153,32 @@
         repeat = await late.propose(make_change(0, 0), LIMIT_S)
         self.assertEqual((repeat.applied, repeat.version), (True, 1))
 
+    @testing.gen_test(timeout=LIMIT_S)
+    async def test_the_cluster_is_named_before_anything_else_is_in_its_log(self):
+        """A leader that is asked before its first tick; a view took any name."""
+        quorum = Quorum(self.stack)
+        for each in quorum.daemons.values():
+            each.control.ticker.stop()
+        replications = [each.control.replication for each in quorum.daemons.values()]
+        await wait_for(lambda: any(each.is_leader for each in replications))
+        (leading,) = (
+            each.control
+            for each in quorum.daemons.values()
+            if each.control.replication.is_leader
+        )
+        change = codec.encode(codec.COMMAND, make_change(1, 0))
+        for _ in range(2):
+            leading.submit(change, lambda outcome: None)
+        await wait_for(lambda: leading.view.config.version == 1)
+        entries = leading.replication.replica.raft.log.entries
+        kinds = [
+            type(codec.decode(codec.COMMAND, entry.command)).__name__
+            for entry in entries
+            if entry.command
+        ]
+        self.assertEqual(kinds, ["FoundCluster", "ChangeConfig", "ChangeConfig"])
+        self.assertTrue(leading.view.cluster_id)
+
     @testing.gen_test(timeout=LIMIT_S)
     async def test_foreign_and_older_views_are_not_taken(self):
         quorum = Quorum(self.stack)
--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -72,6 +72,7 @@
         self.reads = reads.Reads(self.replication)
         self.seen = {}
         self.leader_since_ms = clock.now_ms()
+        self.founding_term = 0
         self.listeners = []
         self.batch = []
         self.sent_index = 0
@@ -183,6 +184,7 @@
         `answer` is called with an `Outcome`; it may not be called at all where
         the leader is lost, so the proposer must try again.
         """
+        self.found_cluster()
         proposed = self.replication.propose(payload)
         if proposed is None:
             self.forward(payload, answer)
@@ -416,12 +418,18 @@
             self.expire()
 
     def found_cluster(self):
-        """Give the cluster its identity, once."""
-        if self.view.cluster_id:
+        """Name the cluster before anything else is put into its log, once a term.
+
+        A view without the name would take that of any cluster.
+        """
+        if self.view.cluster_id or not self.replication.is_leader:
+            return
+        if self.founding_term == self.replication.term:
             return
+        self.founding_term = self.replication.term
         cluster_id = self.replication.replica.identity.cluster_id
         command = commands.FoundCluster(cluster_id)
-        self.submit(codec.encode(codec.COMMAND, command), ignore)
+        self.replication.propose(codec.encode(codec.COMMAND, command))
 
     def remove_lost(self, now_ms):
         """Remove members of whom no control host has heard for a while."""
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -323,6 +323,12 @@
         node = self.replica.raft
         return self.failed is None and node is not None and node.is_leader
 
+    @property
+    def term(self):
+        """The term of the log, as far as it is known here."""
+        node = self.replica.raft
+        return node.term if node is not None else 0
+
     @property
     def leader_host(self):
         """The host of the leader, or an empty word."""
