Keep the lease of a gateway in one place

Cause: the lease was spread over the subscription (when renewed), the gateway (whether it holds, who waits) and constants of both, and the gauge showed an age of 0 as none.

--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -35,7 +35,7 @@
 def admit(gateway, call, arrived_ms):
     """Return an `Admitted`; raise `refusals.Refused`."""
     check_gateway(gateway)
-    may_decide = gateway.has_lease() or not gateway.settings.fails_closed
+    may_decide = gateway.lease.holds or not gateway.settings.fails_closed
     route = gateway.catalog.find_route(call.host, call.path)
     if route is None:
         if not may_decide:
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -350,7 +350,7 @@
             total_ms=total_ms,
             waiting=len(gateway.pool.waiting),
             version=gateway.document_version,
-            lease_age_ms=gateway.subscription.lease_age_ms(),
+            lease_age_ms=gateway.lease.age_ms,
         )
         gateway.metrics.count("gateway_requests", outcome=outcome, tier=tier)
         gateway.metrics.record("gateway_request", total_ms / 1000, tier=tier)
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -14,18 +14,19 @@
 from brasstrail.coordination import allotments, directory, pool, retries
 from brasstrail.core import catalog, clock, errors, servers
 from brasstrail.protocol import dialects, messages
-from brasstrail.roles import forwarding, gossip, metrics, registry, subscription
+from brasstrail.roles import (
+    forwarding,
+    gossip,
+    lease,
+    metrics,
+    registry,
+    subscription,
+)
 from brasstrail.state import documents
 from brasstrail.transport import upstream
 
 TICK_MS = 50
 IDLE_SWEEP_MS = 500
-# The lease is renewed several times a second; a gateway without it for this long
-# does not ask for new callers.
-READY_LEASE_MS = 2500
-# A process that starts with all others has its lease within this time: they start
-# within a third of a second of one another, and then elect a leader.
-START_MS = 2000
 # Every backend server has announced itself within this time, the users' beat.
 MAX_ANNOUNCE_MS = 1200
 # A stopping gateway still takes requests while callers may still be sent to it: two
@@ -112,8 +113,7 @@
         self.running = {}
         self.held_bytes = 0
         self.stopping_ms = None
-        self.started_ms = now_ms
-        self.waiting_for_lease = set()
+        self.lease = lease.Lease(self.settings.lease_ms)
         self.swept_ms = now_ms
         self.http = None
         self.ready_http = None
@@ -171,54 +171,25 @@
     @property
     def is_ready(self):
         """Whether callers should be sent here."""
-        age_ms = self.subscription.lease_age_ms()
-        if self.stopping_ms is not None or self.catalog is None or age_ms is None:
-            return False
-        return age_ms < READY_LEASE_MS
-
-    def has_lease(self):
-        """Return whether what is known of keys and routes may be acted on."""
-        age_ms = self.subscription.lease_age_ms()
-        return age_ms is not None and age_ms < self.settings.lease_ms
-
-    def is_lease_expected(self):
-        """Return whether a lease is likely to come soon.
-
-        It is after the start, and where it was lost only lately.
-        """
-        if clock.now_ms() - self.started_ms < START_MS:
-            return True
-        age_ms = self.subscription.lease_age_ms()
-        return age_ms is not None and age_ms < self.settings.lease_ms + START_MS
+        is_serving = self.stopping_ms is None and self.catalog is not None
+        return is_serving and self.lease.is_fresh
 
     def is_learning_servers(self):
         """Return whether some servers may not have been heard since the start.
 
         They announce themselves within about a second of one another.
         """
-        return clock.now_ms() - self.started_ms < START_MS + MAX_ANNOUNCE_MS
+        return self.lease.since_start_ms < lease.START_MS + MAX_ANNOUNCE_MS
 
     async def wait_for_lease(self, limit_ms):
-        """Wait until keys and routes may be acted on; return whether they may."""
-        if self.stopping_ms is not None or not self.is_lease_expected():
-            return False
-        renewed = self.hub.loop.create_future()
-        self.waiting_for_lease.add(renewed)
-        try:
-            await asyncio.wait_for(renewed, limit_ms / 1000)
-        except asyncio.TimeoutError:
-            return False
-        finally:
-            self.waiting_for_lease.discard(renewed)
-        return True
+        """Wait until keys and routes may be acted on, where that is expected soon."""
+        if self.stopping_ms is None and self.lease.is_expected:
+            await self.lease.wait(limit_ms)
 
     def lease_renewed(self):
         """Go on with the requests that wait for the lease."""
-        if self.catalog is None or not self.has_lease():
-            return
-        for renewed in self.waiting_for_lease:
-            if not renewed.done():
-                renewed.set_result(None)
+        if self.catalog is not None and self.lease.holds:
+            self.lease.wake()
 
     def answer_ready(self, request):
         """Say whether callers should be sent here."""
@@ -426,10 +397,15 @@
         gauge("gateway_running", lambda: len(self.running))
         gauge("gateway_waiting", lambda: len(self.pool.waiting))
         gauge("gateway_document_version", lambda: self.document_version)
-        gauge("gateway_lease_age_ms", lambda: self.subscription.lease_age_ms() or -1)
+        gauge("gateway_lease_age_ms", self.shown_lease_age_ms)
         gauge("gateway_connections_opened", lambda: self.connections.opened)
         gauge("gateway_held_bytes", lambda: self.held_bytes)
         gauge("gateway_peers", lambda: self.pool.gateways - 1)
         gauge("gateway_servers", lambda: len(self.pool.servers))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams)
         metrics.gauge_bytes(self.metrics, self.hub)
+
+    def shown_lease_age_ms(self):
+        """Return the age of the lease, or -1 where there was none."""
+        age_ms = self.lease.age_ms
+        return -1 if age_ms is None else age_ms
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -76,7 +76,7 @@
         self.put_document(DOCUMENT)
 
     def renew_lease(self):
-        self.gateway.subscription.renewed_ms = clock.boot_ms()
+        self.gateway.lease.renewed_ms = clock.boot_ms()
 
     def put_document(self, document):
         packed = documents.pack(orjson.dumps(document))
@@ -347,14 +347,14 @@
 
     def lose_lease(self, ago_ms):
         """Make the gateway one that started and lost its lease so long ago."""
-        self.gateway.started_ms = clock.now_ms() - ago_ms
+        self.gateway.lease.started_ms = clock.now_ms() - ago_ms
         lease_ms = self.settings.gateway.lease_ms
-        self.gateway.subscription.renewed_ms = clock.boot_ms() - lease_ms - ago_ms
+        self.gateway.lease.renewed_ms = clock.boot_ms() - lease_ms - ago_ms
 
     async def test_a_caller_at_the_start_waits_for_the_lease(self):
         """All hosts start at once, and callers have one more try each."""
         (server,) = await self.serve([scripted.reply()])
-        self.gateway.subscription.renewed_ms = None
+        self.gateway.lease.renewed_ms = None
         calling = asyncio.ensure_future(self.call("safe", X_Deadline_Ms="3000"))
         await asyncio.sleep(0.2)
         self.assertFalse(calling.done())
@@ -373,7 +373,7 @@
         self.assertEqual([status for status, _, _ in await calling], 8 * [200])
 
     async def test_a_service_without_servers_refuses_at_once_later(self):
-        self.gateway.started_ms = clock.now_ms() - 10_000
+        self.gateway.lease.started_ms = clock.now_ms() - 10_000
         begun_ms = clock.now_ms()
         status, headers, _ = await self.call("safe", X_Deadline_Ms="3000")
         self.assertEqual(status, 503)
@@ -381,7 +381,7 @@
         self.assertLess(clock.now_ms() - begun_ms, 200)
 
     async def test_no_lease_comes_and_the_caller_is_told_in_time(self):
-        self.gateway.subscription.renewed_ms = None
+        self.gateway.lease.renewed_ms = None
         begun_ms = clock.now_ms()
         status, headers, _ = await self.call("safe", X_Deadline_Ms="900")
         self.assertEqual(status, 503)
@@ -477,7 +477,7 @@
 
     async def test_ready_with_document_and_lease_only(self):
         self.assertEqual(await self.ask(), 200)
-        self.gateway.subscription.renewed_ms = clock.boot_ms() - 4000
+        self.gateway.lease.renewed_ms = clock.boot_ms() - 4000
         self.assertEqual(await self.ask(), 503)
         self.renew_lease()
         self.gateway.stopping_ms = clock.now_ms()
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -67,7 +67,7 @@
     def is_settled(self):
         return all(
             gateway.gateway.budget.gateways == 2
-            and gateway.gateway.subscription.renewed_ms is not None
+            and gateway.gateway.lease.renewed_ms is not None
             for gateway in self.gateways
         ) and all(control.publisher.is_confirmed for control in self.controls)
 
@@ -174,9 +174,9 @@
             self.controls[0].publisher.registry.announce(make_announcement("i-2"))
         learned = self.controls[0].publisher.registry.directory.known
         self.assertIn("i-2", learned)
-        renewed = self.gateways[0].gateway.subscription.renewed_ms
+        renewed = self.gateways[0].gateway.lease.renewed_ms
         await asyncio.sleep(1.0)
-        self.assertEqual(self.gateways[0].gateway.subscription.renewed_ms, renewed)
+        self.assertEqual(self.gateways[0].gateway.lease.renewed_ms, renewed)
 
     async def test_an_answer_after_its_time_ends_nothing(self):
         """Found by the soak, seed 24: it ended the task of the replica."""
--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -1,10 +1,7 @@
 """A gateway's way to the control hosts: document, servers, lease.
 
 The gateway keeps a link to each control host and follows one of them, the
-nearest that answers. A beat that is confirmed renews the lease from the moment
-at which the beat was sent, so that neither a frozen process nor bytes held up on
-the way make it last longer. The lease is measured on a clock that goes on while
-the host is suspended.
+nearest that answers. A beat that is confirmed renews the gateway's lease.
 """
 
 import itertools
@@ -27,12 +24,8 @@
     Parameters
     ----------
     hub : `hub.Hub` of the process.
-    gateway : receives `take_document`, `take_directory` and `take_gateways`.
-
-    Attributes
-    ----------
-    renewed_ms : when the lease was last renewed, on the clock of `clock.boot_ms`,
-        or None.
+    gateway : receives `take_document`, `take_directory` and `take_gateways`;
+        its lease is renewed.
     """
 
     def __init__(self, hub, gateway):
@@ -44,7 +37,6 @@
         self.followed_ms = 0
         self.needs_directory = True
         self.sent = {}
-        self.renewed_ms = None
         self.answered_ms = None
         self.numbers = itertools.count(1)
         self.ticker = ioloop.PeriodicCallback(self.tick, BEAT_MS)
@@ -172,7 +164,7 @@
         self.answered_ms = clock.now_ms()
         if current.document_version > self.gateway.document_version:
             return
-        self.renewed_ms = max(self.renewed_ms or sent_ms, sent_ms)
+        self.gateway.lease.renew(sent_ms)
         self.gateway.lease_renewed()
         if first:
             self.hub.loop.call_later(1.0, self.prefer_near)
@@ -194,12 +186,6 @@
             self.keep_only(update.control_addresses)
         self.gateway.take_gateways(update)
 
-    def lease_age_ms(self):
-        """Return the age of the lease, or None where there was none."""
-        if self.renewed_ms is None:
-            return None
-        return clock.boot_ms() - self.renewed_ms
-
 
 HANDLERS = {
     messages.Current: Subscription.take_current,
