Test that relays are told in turn

With the turn taken out by hand the test of a dead relay passed unless chance had chosen that relay; the new test failed then, and passes with the turn in place.

--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -97,6 +97,11 @@
                 heard = len(member.gateway.heard)
                 self.assertGreaterEqual(heard, SIZE * SIZE * (SIZE - 2) / SIZE)
 
+    def test_each_gateway_of_a_place_is_told_in_turn(self):
+        told = self.members["ax0", 1].map.centres
+        turns = {told.next_addresses() for _ in range(SIZE)}
+        self.assertEqual(turns, {(address,) for address in told.addresses})
+
     def test_strangers_are_not_heard(self):
         state = messages.GatewayState("ax1", 1, 1, (), ())
         payload = codec.encode_packed(codec.MESSAGE, state)
