Test what renews a gateway's lease

Taken out by hand, the rule that a gateway which lacks a document gets no lease was noticed by no test, and that the lease counts from the sending of its beat only by chance. Both removals are red now.

--- /dev/null
+++ b/brasstrail/roles/subscription_test.py
@@ -0,0 +1,79 @@
+"""Tests of what renews a gateway's lease, without sockets."""
+
+import asyncio
+import types
+import unittest
+import unittest.mock
+
+from brasstrail.core import clock
+from brasstrail.protocol import messages
+from brasstrail.roles import lease, subscription
+
+
+class Link:
+    """A link to a control host that keeps what is sent."""
+
+    connected = True
+    name = "c1"
+    data_centre = "east"
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+class RenewalTest(unittest.IsolatedAsyncioTestCase):
+    """Beats and their confirmations, on clocks that the test turns."""
+
+    def setUp(self):
+        self.now_ms = 1_000_000
+        for name in ("now_ms", "boot_ms"):
+            patched = unittest.mock.patch.object(clock, name, lambda: self.now_ms)
+            patched.start()
+            self.addCleanup(patched.stop)
+
+    async def asyncSetUp(self):
+        node = types.SimpleNamespace(data_centre="east", dialed_address="a:1")
+        hub = types.SimpleNamespace(
+            log=unittest.mock.Mock(),
+            handlers=[],
+            loop=asyncio.get_running_loop(),
+            settings=types.SimpleNamespace(node=node),
+        )
+        self.gateway = unittest.mock.Mock(document_version=4, lease=lease.Lease(4500))
+        self.subscription = subscription.Subscription(hub, self.gateway)
+        self.link = Link()
+        self.subscription.follow(self.link)
+
+    def confirm(self, beat_id, document_version=4):
+        """Deliver the confirmation of a beat."""
+        current = messages.Current(beat_id, document_version)
+        self.subscription.take_current(self.link, current)
+
+    async def test_the_lease_counts_from_the_sending_of_its_beat(self):
+        sent_ms = self.now_ms
+        self.now_ms += 3000
+        self.confirm(self.link.sent[0].beat_id)
+        self.assertEqual(self.gateway.lease.renewed_ms, sent_ms)
+        self.gateway.lease_renewed.assert_called_once()
+
+    async def test_a_gateway_that_lacks_a_document_gets_no_lease(self):
+        """A key that the newer document removed could still be let in."""
+        self.confirm(self.link.sent[0].beat_id, document_version=5)
+        self.assertIsNone(self.gateway.lease.renewed_ms)
+
+    async def test_a_beat_is_confirmed_once(self):
+        self.confirm(99)
+        self.assertIsNone(self.gateway.lease.renewed_ms)
+        beat_id = self.link.sent[0].beat_id
+        self.confirm(beat_id)
+        renewed_ms = self.gateway.lease.renewed_ms
+        self.now_ms += 1000
+        self.confirm(beat_id)
+        self.assertEqual(self.gateway.lease.renewed_ms, renewed_ms)
+
+
+if __name__ == "__main__":
+    unittest.main()
