Log the content of requests, failed attempts and the retry budget

A request's end, each failed attempt and each retry decision now carry a digest of the content, which is equal for all attempts of one request. A failed attempt names the server's start, a retry decision the retries made and allowed and the number of gateways that share the budget. The counter gateway_retries counts the decisions. No decision changes.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -198,6 +198,11 @@
         server.announcement = announcement
         server.silent = silent
 
+    def born_ms(self, identity):
+        """Return when a server's present start began, or 0 if it is not known."""
+        server = self.servers.get(identity)
+        return server.announcement.born_ms if server else 0
+
     def remove_server(self, identity):
         """Remove a server."""
         self.servers.pop(identity, None)
--- a/brasstrail/coordination/retries.py
+++ b/brasstrail/coordination/retries.py
@@ -50,10 +50,13 @@
 
     def allows_retry(self, service, now_ms):
         """Return whether one more retry is within the budget."""
-        requests = self.prune_expired(self.requests[service], now_ms)
         recent_retries = self.prune_expired(self.retries[service], now_ms)
-        allowed = self.ratio * len(requests) + self.slack / self.gateway_count
-        return len(recent_retries) + 1 <= allowed
+        return len(recent_retries) + 1 <= self.allowance(service, now_ms)
+
+    def allowance(self, service, now_ms):
+        """Return how many retries this gateway may make in the present window."""
+        requests = self.prune_expired(self.requests[service], now_ms)
+        return self.ratio * len(requests) + self.slack / self.gateway_count
 
     def prune_expired(self, times, now_ms):
         """Remove the times that lie before the window; return the remaining ones."""
--- a/brasstrail/core/calls.py
+++ b/brasstrail/core/calls.py
@@ -7,9 +7,14 @@
 """
 
 import dataclasses
+import hashlib
 
 from brasstrail.core import servers
 
+# Length of a content digest in bytes: two of a million different contents are equal
+# with a probability of about 1 in 10 million.
+DIGEST_BYTES = 8
+
 
 @dataclasses.dataclass(frozen=True)
 class PromptPart:
@@ -58,6 +63,17 @@
         return self.target.partition("?")[0]
 
 
+def digest_content(call, body):
+    """Return a digest that is equal for all attempts of one request, as hex text.
+
+    It covers the method, the host, the target and the body, which a caller repeats
+    when it sends a request again. Headers are not covered: the attempt id, the deadline
+    and the last event of a stream differ between attempts.
+    """
+    head = f"{call.method} {call.host} {call.target}\n".encode()
+    return hashlib.blake2b(head + body, digest_size=DIGEST_BYTES).hexdigest()
+
+
 @dataclasses.dataclass(frozen=True)
 class AnswerHead:
     """The head of a backend server's answer.
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -15,7 +15,7 @@
 from tornado import iostream
 
 from brasstrail.coordination import pool
-from brasstrail.core import clock, data, errors
+from brasstrail.core import calls, clock, data, errors
 from brasstrail.roles import admitting, refusals, replies, sending
 
 # Extra wait after the deadline for an answer that is already in transit.
@@ -50,6 +50,7 @@
     ----------
     call : the caller's `calls.Call`, or None before it is parsed.
     admitted : `admitting.AdmittedRequest`, or None before admission.
+    content : `calls.digest_content` of the request, or "" before it is parsed.
     runs : how many servers may have run the request.
     attempts_made : how many times the request was sent to a server.
     waited_ms : the time spent waiting for the lease and for servers.
@@ -65,6 +66,7 @@
         self.arrived_ms = clock.now_ms()
         self.call = None
         self.body = b""
+        self.content = ""
         self.admitted = None
         self.attempts_made = 0
         self.runs = 0
@@ -137,6 +139,7 @@
         except errors.BadRequest as error:
             raise refusals.Refused(400, error.code) from error
         self.body = body
+        self.content = calls.digest_content(self.call, body)
         self.admitted = await self.admit()
         left_ms = self.admitted.deadline_ms + LATE_ANSWER_GRACE_MS - clock.now_ms()
         try:
@@ -326,7 +329,22 @@
     def acquire_retry(self):
         """Charge one retry to the budget; return whether the budget allowed it."""
         service = self.admitted.service
-        return self.gateway.budget.acquire(service, clock.now_ms())
+        budget, now_ms = self.gateway.budget, clock.now_ms()
+        is_allowed = budget.acquire(service, now_ms)
+        outcome = "allowed" if is_allowed else "refused"
+        self.gateway.metrics.count("gateway_retries", outcome=outcome)
+        self.gateway.log.info(
+            "forwarding: A retry was decided.",
+            id=self.identity,
+            content=self.content,
+            outcome=outcome,
+            service=service,
+            reason=self.reasons[-1] if self.reasons else "",
+            retries=len(budget.retries[service]),
+            allowance=round(budget.allowance(service, now_ms), 1),
+            gateways=budget.gateway_count,
+        )
+        return is_allowed
 
     def can_fail_over(self, work):
         """Return whether the request may continue at another server with capacity."""
@@ -340,6 +358,16 @@
     def record_failure(self, choice, error):
         """Record a failed attempt for the log, the pool and the metrics."""
         self.reasons.append(error.reason)
+        self.gateway.log.info(
+            "forwarding: An attempt failed.",
+            id=self.identity,
+            content=self.content,
+            server=choice.identity,
+            born=self.gateway.pool.born_ms(choice.identity),
+            reason=error.reason,
+            may_have_run=isinstance(error, refusals.ExecutionUnknown),
+            events=self.reply.events,
+        )
         self.gateway.pool.failed(choice.identity, clock.now_ms(), error.needs_backoff)
         self.gateway.metrics.count("gateway_failed_sendings", reason=error.reason)
 
@@ -365,6 +393,7 @@
         gateway.log.info(
             "forwarding: A request ended.",
             id=self.identity,
+            content=self.content,
             outcome=outcome,
             status=self.reply.status,
             **self.admission_fields(),
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -90,6 +90,7 @@
     counter("gateway_refusals", "requests", "Refusals by their reason.", "reason"),
     counter("gateway_sendings", "sendings", "Requests sent to servers."),
     counter("gateway_failed_sendings", "sendings", "Sendings that failed.", "reason"),
+    counter("gateway_retries", "retries", "Retries asked of the budget.", "outcome"),
     gauge("gateway_running", "requests", "Requests under way."),
     gauge("gateway_waiting", "requests", "Requests that wait for a server."),
     gauge("gateway_held_bytes", "bytes", "Bytes of request bodies held in memory."),
