--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -7,12 +7,18 @@
 
 The last part of a path is the number of events of the answer; 0 requests a plain
 answer, which is a response that is not an event stream.
+
+The query parameter `end` makes a request end each server that begins to execute it, and
+names the way in which the server ends (see `ENDINGS`).
 """
 
 import asyncio
 import contextlib
+import os
 import random
 import signal
+import socket
+import struct
 import time
 
 import click
@@ -27,10 +33,16 @@
 POST_DRAIN_PERIOD_S = 1.5
 MEAN_EVENT_INTERVAL_S = 0.03
 PLAIN_SERVICE_TIME_S = 0.1
+# How long a server that falls silent keeps its connections before its process exits.
+SILENCE_S = 3.0
+# Events that a server sends before it ends in the middle of the next one.
+EVENTS_BEFORE_END = 2
 
 
 class Server:
-    """One process of a backend server; each start has a new identity.
+    """One process of a backend server.
+
+    Each start has a new identity, unless the option `keep_identity` is set.
 
     Parameters
     ----------
@@ -40,7 +52,9 @@
     def __init__(self, options):
         self.options = options
         self.born_ms = int(1000 * time.time())
-        self.identity = f"i-{options['port']}-{self.born_ms}"
+        self.identity = f"i-{options['port']}"
+        if not options["keep_identity"]:
+            self.identity += f"-{self.born_ms}"
         self.state = "ready"
         self.sequence = 0
         self.journal = open(options["journal"], "ab", buffering=0)
@@ -135,6 +149,10 @@
         )
         self.is_running = True
         self.set_header("X-Server-Signature", f"{self.server.identity}.{self.identity}")
+        ending = self.get_argument("end", "")
+        if ending:
+            self.server.write_record("ended", id=self.identity, how=ending)
+            await ENDINGS[ending](self, count)
         if not count:
             await asyncio.sleep(random.uniform(0.5, 2.0) * PLAIN_SERVICE_TIME_S)
             self.write(f"{self.identity} done by {self.server.identity}")
@@ -150,6 +168,16 @@
             self.write(f"id: {number}\ndata: {self.identity} {number}/{count}\n\n")
             await self.flush()
 
+    async def send_incomplete(self, count):
+        """Send the beginning of an answer: of a stream, some events and half of one."""
+        if not count:
+            self.set_header("Content-Length", "1000")
+            self.write("half an answer")
+        else:
+            await self.send_events(0, min(count - 1, EVENTS_BEFORE_END))
+            self.write(f"id: {count}\ndata: {self.identity}")
+        await self.flush()
+
     def record_end(self, is_complete):
         """Record the end of the execution, once."""
         if self.is_running:
@@ -161,6 +189,50 @@
         self.record_end(False)
 
 
+# Ways in which a request ends its server: functions of the handler and the number of
+# events, by name.
+ENDINGS = {}
+
+
+def ending(name):
+    """Return a decorator that registers a way in which a server ends."""
+
+    def register(function):
+        ENDINGS[name] = function
+        return function
+
+    return register
+
+
+@ending("exit")
+async def exit_process(handler, count):
+    """End the process; the kernel closes its connections."""
+    os._exit(1)
+
+
+@ending("reset")
+async def reset_and_exit(handler, count):
+    """Reset the request's connection and end the process."""
+    no_linger = struct.pack("ii", 1, 0)
+    connection = handler.request.connection.stream.socket
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    os._exit(1)
+
+
+@ending("silent")
+async def fall_silent(handler, count):
+    """Stop answering and announcing, without closing connections, and exit later."""
+    time.sleep(SILENCE_S)
+    os._exit(1)
+
+
+@ending("partial")
+async def answer_in_part(handler, count):
+    """Send the beginning of an answer and end the process."""
+    await handler.send_incomplete(count)
+    os._exit(1)
+
+
 class HealthHandler(web.RequestHandler):
     """Health check of the server."""
 
@@ -204,6 +276,7 @@
 @click.option("--zone", default="dc-1")
 @click.option("--slots", type=int, default=6)
 @click.option("--journal", required=True, help="File that lists executions.")
+@click.option("--keep-identity", is_flag=True, help="Each start has the same identity.")
 def main(**options):
     """Run a backend server."""
     with contextlib.suppress(RuntimeError):
--- a/brasstrail/fakes/fleetcalls.py
+++ b/brasstrail/fakes/fleetcalls.py
@@ -42,7 +42,8 @@
     complete response head was received. `key` is the API key that was sent, `gateway`
     the name of the gateway. `is_sent` is set once the request was written
     to the connection, `is_complete` once the whole response was received. `events` is
-    the number of events requested.
+    the number of events requested, `query` the query string with its question mark.
+    `fatal` names a repeated request that ends its servers; it is empty otherwise.
     """
 
     identity: str
@@ -57,6 +58,8 @@
     is_complete: bool = False
     is_sent: bool = False
     events: int = 0
+    query: str = ""
+    fatal: str = ""
 
 
 def make_document(version, workspaces):
@@ -172,7 +175,8 @@
             self.reader, self.writer = await asyncio.open_connection(host, int(port))
         method = "GET" if reply.route == "look" else "POST"
         head = (
-            f"{method} /{reply.route}/{events} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"{method} /{reply.route}/{events}{reply.query} HTTP/1.1\r\n"
+            f"Host: {HOST}\r\n"
             f"X-Attempt-Id: {reply.identity}\r\nAuthorization: Token {reply.key}\r\n"
             f"X-Deadline-Ms: {int(1000 * deadline_s)}\r\nX-Token-Usage: 200,40\r\n"
             "Content-Length: 0\r\n\r\n"
--- /dev/null
+++ b/brasstrail/fakes/memory.py
@@ -0,0 +1,384 @@
+"""A platform in memory: gateways, backend servers and callers without a network.
+
+`Platform` drives the code of real gateways. Connections to servers and datagrams of
+gateways are objects, and datagrams are delivered only by `Platform.exchange`, so that a
+test decides what each gateway knows. A request whose target contains `end=NAME` ends
+each server that begins to run it, in the way that `ENDINGS` registers under the name.
+"""
+
+import asyncio
+import itertools
+import types
+
+import orjson
+import structlog
+from tornado import httputil, iostream
+
+from brasstrail.core import clock
+from brasstrail.protocol import messages
+from brasstrail.roles import gateway, hub, metrics
+from brasstrail.settings import settings
+from brasstrail.state import documents
+from brasstrail.transport import upstream
+
+HOST = "h"
+STREAM_EVENTS = 3
+
+
+class Server:
+    """A backend server. `runs` are the attempt ids of all runs, over all starts."""
+
+    def __init__(self, platform, identity, service):
+        self.platform = platform
+        self.identity = identity
+        self.service = service
+        self.address = f"{identity}:1"
+        self.born_ms = 0
+        self.is_up = False
+        self.runs = []
+        self.connections = set()
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    def start(self):
+        """Begin a new start and announce it to all gateways."""
+        self.born_ms = next(self.platform.starts)
+        self.is_up = True
+        self.platform.announce(self, "ready")
+
+    def end(self):
+        """End: all connections are closed without an answer."""
+        self.is_up = False
+        for connection in list(self.connections):
+            connection.break_off()
+
+
+class Connection:
+    """A connection to a server; the interface is that of `upstream.Upstream`."""
+
+    def __init__(self, server):
+        self.server = server
+        self.address = server.address
+        self.attempt_id = ""
+        self.chunks = asyncio.Queue()
+        self.runner = None
+        server.connections.add(self)
+
+    def send(self, method, target, headers, body):
+        """Send a request; the server runs it in a task of its own."""
+        self.attempt_id = headers["X-Attempt-Id"]
+        self.runner = asyncio.ensure_future(self.run(target, headers))
+
+    async def run(self, target, headers):
+        """Run a request as the server does."""
+        server = self.server
+        if not server.is_up:
+            return self.break_off()
+        expected = headers.get("X-Expected-Instance", server.identity)
+        if expected != server.identity:
+            self.chunks.put_nowait(self.head(421))
+            return self.chunks.put_nowait(None)
+        server.runs.append(self.attempt_id)
+        name = target.partition("end=")[2].partition("&")[0]
+        if name:
+            return await ENDINGS[name](self, target)
+        await server.gate.wait()
+        self.chunks.put_nowait(self.head(500 if "fail" in target else 200))
+        for number in range(1, STREAM_EVENTS + 1):
+            self.chunks.put_nowait(b"id: %d\ndata: x\n\n" % number)
+        self.chunks.put_nowait(None)
+
+    def head(self, status):
+        """Return the head of an answer."""
+        headers = httputil.HTTPHeaders({"X-Attempt-Id": self.attempt_id})
+        headers["X-Server-Signature"] = self.server.identity
+        headers["Connection"] = "close"
+        return httputil.ResponseStartLine("HTTP/1.1", status, "x"), headers
+
+    def break_off(self):
+        """Close the connection without the end of an answer."""
+        self.chunks.put_nowait(upstream.AnswerIncomplete("closed"))
+
+    async def read(self):
+        """Return what the server sends next; None at the end of an answer."""
+        item = await self.chunks.get()
+        if isinstance(item, upstream.AnswerIncomplete):
+            raise item
+        return item
+
+    async def read_head(self):
+        """Return the start line and the headers of the answer."""
+        return await self.read()
+
+    async def read_chunk(self):
+        """Return the next chunk of the body, or None at its end."""
+        return await self.read()
+
+    async def read_body(self, max_bytes):
+        """Return the whole body."""
+        body = b""
+        while chunk := await self.read():
+            body += chunk
+        return body
+
+    def close(self):
+        """Close the connection; the server stops the run."""
+        self.server.connections.discard(self)
+        if self.runner is not None:
+            self.runner.cancel()
+
+
+ENDINGS = {}
+
+
+def ending(name):
+    """Return a decorator that registers a way in which a request ends its server."""
+
+    def register(function):
+        ENDINGS[name] = function
+        return function
+
+    return register
+
+
+@ending("reset")
+async def reset(connection, target):
+    """Close all connections without any answer."""
+    connection.server.end()
+
+
+@ending("restart")
+async def restart(connection, target):
+    """End and come back at once, as a new start under the same identity."""
+    connection.server.end()
+    connection.server.start()
+
+
+@ending("silent")
+async def fall_silent(connection, target):
+    """Send nothing more on any connection."""
+    connection.server.is_up = False
+    await asyncio.Event().wait()
+
+
+@ending("partial")
+async def answer_in_part(connection, target):
+    """Send the first event and half of the second, and close all connections."""
+    connection.chunks.put_nowait(connection.head(200))
+    connection.chunks.put_nowait(b"id: 1\ndata: x\n\nid: 2\nda")
+    await asyncio.sleep(0)
+    connection.server.end()
+
+
+class ServerConnections:
+    """The connections of a gateway; the interface is `upstream.ConnectionPool`'s."""
+
+    def __init__(self, platform):
+        self.platform = platform
+        self.opened_count = 0
+
+    def take_idle(self, address, identity):
+        """Return None: no connection is kept."""
+
+    async def open(self, address, timeout_ms):
+        """Return a connection; raise `upstream.ConnectFailed` if nothing listens."""
+        server = self.platform.by_address[address]
+        if not server.is_up:
+            raise upstream.ConnectFailed("refused")
+        return Connection(server)
+
+    def release(self, connection, identity, keep_alive_timeout_s):
+        """Close a connection; none is kept."""
+        connection.close()
+
+    def close_expired(self):
+        """Do nothing."""
+
+    def close(self):
+        """Do nothing."""
+
+
+class CallerConnection:
+    """A caller's connection, which collects the answer."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = None
+        self.body = b""
+        self.is_finished = False
+        self.is_closed = False
+        self.stream = types.SimpleNamespace(closed=lambda: self.is_closed)
+
+    def write_headers(self, start_line, headers, chunk=None):
+        """Store the head of the answer."""
+        self.status, self.headers = start_line.code, headers
+        self.body += chunk or b""
+
+    async def write(self, chunk):
+        """Store a chunk of the body; raise as Tornado does if the caller has left."""
+        if self.is_closed:
+            raise iostream.StreamClosedError
+        self.body += chunk
+
+    def finish(self):
+        """Store that the answer is complete."""
+        self.is_finished = True
+
+    def close(self):
+        """Store that the connection is closed."""
+        self.is_closed = True
+
+    def set_close_callback(self, callback):
+        """Do nothing: a test cancels the request's task instead."""
+
+    @property
+    def code(self):
+        """The code of a refusal, or an empty string."""
+        try:
+            return orjson.loads(self.body)["error"]["code"]
+        except (orjson.JSONDecodeError, KeyError, TypeError):
+            return ""
+
+
+class Transport:
+    """The datagram transport of a gateway, which queues what is sent."""
+
+    def __init__(self, platform, address):
+        self.platform = platform
+        self.address = address
+
+    def is_closing(self):
+        """Return False."""
+        return False
+
+    def sendto(self, payload, address):
+        """Queue a datagram."""
+        self.platform.datagrams.append((self.address, address, payload))
+
+    def close(self):
+        """Do nothing."""
+
+
+class Platform:
+    """Gateways and backend servers in one event loop.
+
+    Attributes
+    ----------
+    gateways : the gateways by name; `add_gateway` adds or replaces one.
+    servers : all `Server`s.
+    lines : the log entries of all gateways, as dicts.
+    cut : names of gateways that receive and send no datagrams.
+    """
+
+    def __init__(self, document, gateway_count=3):
+        self.document = document
+        self.starts = itertools.count(1)
+        self.attempts = itertools.count(1)
+        self.incarnations = itertools.count(1)
+        self.servers = []
+        self.by_address = {}
+        self.gateways = {}
+        self.datagrams = []
+        self.lines = []
+        self.cut = set()
+        self.names = [f"g{number}" for number in range(gateway_count)]
+        for name in self.names:
+            self.add_gateway(name)
+
+    def add_gateway(self, name):
+        """Add a gateway, or start it anew without what it knew."""
+        node = settings.Node(name, ("gateway",), "one", "east", regions={})
+        options = settings.Settings(
+            node, settings.Cluster("c", "a-secret-of-16-letters", ("127.0.0.1:1",))
+        )
+        log = structlog.wrap_logger(None, processors=[self.record_line])
+        gateway_hub = hub.Hub(options, next(self.incarnations), log)
+        created = gateway.Gateway(gateway_hub, metrics.Metrics())
+        created.connections = ServerConnections(self)
+        created.http = types.SimpleNamespace(conn_params=types.SimpleNamespace())
+        created.gossip.transport = Transport(self, (name, 1))
+        created.lease.renewed_ms = clock.boot_ms()
+        packed = documents.pack(orjson.dumps(self.document))
+        created.apply_document(messages.Document(self.document["version"], packed))
+        created.apply_gateways(
+            messages.Gateways(
+                tuple(each for each in self.names if each != name),
+                tuple(f"{each}:1" for each in self.names if each != name),
+                (),
+                tuple("one" for each in self.names if each != name),
+            )
+        )
+        self.gateways[name] = created
+        for server in self.servers:
+            self.announce(server, "ready", (name,))
+
+    def record_line(self, logger, method, event):
+        """Record a log entry instead of writing it."""
+        self.lines.append(event)
+        raise structlog.DropEvent
+
+    def add_servers(self, service, count):
+        """Add and start servers of a service."""
+        for _ in range(count):
+            identity = f"{service}-{len(self.servers)}"
+            server = Server(self, identity, service)
+            self.servers.append(server)
+            self.by_address[server.address] = server
+            server.start()
+
+    def announce(self, server, phase, names=None):
+        """Tell gateways of a server, as the control hosts do."""
+        record = messages.ServerRecord(
+            server.identity,
+            server.service,
+            server.address,
+            "east",
+            phase,
+            server.born_ms,
+            1,
+            4,
+            0.0,
+        )
+        for name in names or self.gateways:
+            self.gateways[name].apply_directory(messages.Directory(False, (record,)))
+
+    def exchange(self):
+        """Let each gateway send its state to the others, and deliver all datagrams."""
+        for each in self.gateways.values():
+            each.gossip.send(each.gossip.own_region)
+        while self.datagrams:
+            (source, _), (target, _), payload = self.datagrams.pop(0)
+            if source not in self.cut and target not in self.cut:
+                receiver = self.gateways[target].gossip
+                receiver.datagram_received(payload, (source, 1))
+
+    def forget_failures(self):
+        """Make all servers selectable again without waiting for their back-off."""
+        for each in self.gateways.values():
+            for server in each.pool.servers.values():
+                server.backoff_until_ms = 0
+
+    def begin(self, name, target, key="k", **headers):
+        """Send a request with a new attempt id; return its task and connection."""
+        connection = CallerConnection()
+        fields = {
+            "Host": HOST,
+            "X-Attempt-Id": f"a{next(self.attempts)}",
+            "Authorization": f"Token {key}",
+            **{each.replace("_", "-"): text for each, text in headers.items()},
+        }
+        start_line = httputil.RequestStartLine("POST", target, "HTTP/1.1")
+        self.gateways[name].serve(
+            connection, start_line, httputil.HTTPHeaders(fields), b""
+        )
+        return list(self.gateways[name].running)[-1], connection
+
+    async def call(self, name, target, key="k", **headers):
+        """Send a request, wait until it has ended and return its connection."""
+        task, connection = self.begin(name, target, key, **headers)
+        await asyncio.wait([task])
+        return connection
+
+    def run_count(self):
+        """Return how many runs all servers have begun."""
+        return sum(len(server.runs) for server in self.servers)
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -38,6 +38,8 @@
 # A process may still be catching up for this long after its fault has ended. The time
 # covers the users' bounds on catching up and on contact between hosts.
 SETTLE_TIME_S = 4.0
+# A server that a request has ended is started again within this time.
+MAX_RESTART_DELAY_S = 4.0
 # The gateways' setting `grace_s`: seconds in which a stopping gateway may finish
 # its requests.
 GRACE_S = 8
@@ -99,13 +101,18 @@
             )
             await self.wait_ready()
             load_tasks = self.load.start()
+            restarts = asyncio.ensure_future(self.restart_ended_servers())
             await self.bring_faults()
             await asyncio.sleep(RECOVERY_TIME_S)
+            restarts.cancel()
             self.load.stopped = True
             await asyncio.wait(load_tasks)
             await self.load.make_final_calls(FINAL_CALL_COUNT)
             self.observations.final_version = await self.read_final_version()
         self.observations.records = self.read_journals()
+        self.observations.faults.extend(
+            soakcheck.find_server_ends(self.observations.records)
+        )
         return soakcheck.find_violations(self.observations)
 
     def make_nodes(self):
@@ -162,6 +169,7 @@
                         self.folder / f"{name}.runs",
                     ),
                     ("--zone", f"dc-{len(self.server_arguments) % 3 + 1}"),
+                    ("--keep-identity",) if len(self.server_arguments) % 2 else (),
                 )
                 self.start_server(name)
 
@@ -172,6 +180,21 @@
         ]
         self.running.run(name, "brasstrail.fakes.fleet", *arguments)
 
+    async def restart_ended_servers(self):
+        """Start servers again that a request has ended, some of them at once."""
+        draw = random.Random(self.options.seed)
+        delays = {}
+        while True:
+            now = time.monotonic()
+            for name in self.server_arguments:
+                if name in self.busy or self.running.is_running(name):
+                    continue
+                delay = draw.choice((0.0, draw.uniform(0.5, MAX_RESTART_DELAY_S)))
+                if now >= delays.setdefault(name, now + delay):
+                    del delays[name]
+                    self.start_server(name)
+            await asyncio.sleep(cluster.POLL_INTERVAL_S)
+
     def read_journals(self):
         """Return the records of the journals of all backend servers."""
         records = []
--- a/brasstrail/tools/soak_test.py
+++ b/brasstrail/tools/soak_test.py
@@ -6,6 +6,9 @@
 from brasstrail.tools import soak
 
 SHORT_RUN_OPTIONS = soak.Options(seed=1, seconds=5.0, gateways=2)
+FATAL_REQUEST_OPTIONS = soak.Options(
+    seed=1, seconds=6.0, gateways=3, fault_filters=("ends its servers",)
+)
 MIN_REQUESTS = 50
 
 
@@ -22,6 +25,13 @@
         self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
         self.assertTrue(run.fault_counts)
 
+    def test_requests_that_end_their_servers_are_held_back(self):
+        """Guards against a request that ends every server to which it is sent."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(FATAL_REQUEST_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/tools/soakcheck.py
+++ b/brasstrail/tools/soakcheck.py
@@ -28,6 +28,19 @@
 STREAM_ROUTES = ("talk", "tale")
 # The fraction of calls that must succeed once all faults are over.
 MIN_RECOVERED_FRACTION = 0.9
+# The users' bounds on a request that ends its servers: it may reach servers in this
+# many retries sent later than this time after it has ended this many.
+MAX_SERVERS_ENDED = 3
+HOLD_BACK_LIMIT_S = 4.0
+MAX_LATE_RETRIES = 3
+# The users' bound on proper requests that are refused: a number, and a fraction of all.
+MAX_WRONG_REFUSALS = 5
+MAX_WRONG_REFUSAL_FRACTION = 1 / 500
+# The code of a refusal of a request that is held to end its servers.
+SUSPECT_CODE = b'"suspect_request"'
+# A server that a request ended is back and known again within this time: its silence,
+# the delay of its start and the time in which it is announced.
+SERVER_RETURN_S = 12.0
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)/(\d+)\n\n")
 
 
@@ -116,6 +129,19 @@
         )
 
 
+def find_server_ends(records):
+    """Return a `Fault` for each end of a server that a request has caused."""
+    return [
+        Fault(
+            f"server-{record['server'].split('-')[1]}",
+            record["at"],
+            record["at"] + SERVER_RETURN_S,
+        )
+        for record in records
+        if record["event"] == "ended"
+    ]
+
+
 CHECKS = {}
 
 
@@ -400,3 +426,53 @@
     )
     if served < MIN_RECOVERED_FRACTION * len(observations.final_replies):
         yield served, len(observations.final_replies)
+
+
+@check("a request that ends its servers is held back")
+def find_repeats_of_fatal_requests(observations):
+    """Find requests that were sent on although they had ended several servers.
+
+    Retries sent by gateways that had a fault are not counted.
+    """
+    gateways = {reply.identity: reply.gateway for reply in observations.replies}
+    names = {reply.identity: reply.fatal for reply in observations.replies}
+    ends, starts = collections.defaultdict(list), collections.defaultdict(list)
+    for record in sorted(observations.records, key=lambda each: each["at"]):
+        if names.get(record["id"] if "id" in record else ""):
+            events = {"ended": ends, "start": starts}.get(record["event"])
+            if events is not None:
+                events[names[record["id"]]].append(record)
+    for name, ended in ends.items():
+        if len(ended) < MAX_SERVERS_ENDED:
+            continue
+        limit_at = ended[MAX_SERVERS_ENDED - 1]["at"] + HOLD_BACK_LIMIT_S
+        late = [
+            record["at"] - limit_at
+            for record in starts[name]
+            if record["at"] > limit_at
+            and not observations.had_fault(
+                gateways[record["id"]], limit_at, record["at"], False
+            )
+        ]
+        if len(late) > MAX_LATE_RETRIES:
+            yield name, len(ended), [round(each, 1) for each in late]
+
+
+def find_wrong_refusals(observations):
+    """Return the requests that were refused as suspect although they end no server."""
+    return [
+        reply
+        for reply in observations.replies
+        if SUSPECT_CODE in reply.body and not reply.fatal
+    ]
+
+
+@check("other requests are not held back")
+def find_excess_wrong_refusals(observations):
+    """Find a run in which too many harmless requests were refused as suspect."""
+    wrong = find_wrong_refusals(observations)
+    allowed = MAX_WRONG_REFUSALS + MAX_WRONG_REFUSAL_FRACTION * len(
+        observations.replies
+    )
+    if len(wrong) > allowed:
+        yield len(wrong), [(each.identity, each.route) for each in wrong[:5]]
--- a/brasstrail/tools/soakcheck_test.py
+++ b/brasstrail/tools/soakcheck_test.py
@@ -211,6 +211,41 @@
             self.violated_guarantees(), {"all is well soon after the faults"}
         )
 
+    def test_repeats_of_a_request_that_ended_three_servers(self):
+        expected = {"a request that ends its servers is held back"}
+        for number in range(8):
+            at = 100.0 + number
+            server = f"i-{900 + number}-1"
+            self.observations.replies.append(
+                make_reply(str(number), status=502, fatal="f")
+            )
+            start = make_start_record(str(number), at, server)
+            self.observations.records.extend([start, {**start, "event": "ended"}])
+        self.assertEqual(self.violated_guarantees(), set())
+        late = (106.1, 106.2, 106.3, 106.4)
+        for number, at in enumerate(late, 8):
+            self.observations.replies.append(
+                make_reply(str(number), status=502, fatal="f")
+            )
+            self.observations.records.append(make_start_record(str(number), at))
+            found = self.violated_guarantees()
+            self.assertEqual(found, expected if number - 8 >= 2 else set())
+        self.observations.faults = [soakcheck.Fault(GATEWAY, 106.25, 107.0)]
+        self.assertEqual(self.violated_guarantees(), set())
+
+    def test_harmless_requests_refused_as_suspect(self):
+        refusal = b'{"error":{"code":"suspect_request","ran":"not_run"}}'
+        replies = [make_reply(str(number)) for number in range(500)]
+        for reply in replies[:6]:
+            reply.status, reply.retry_after, reply.body = 503, "9", refusal
+        self.observations.replies = replies
+        self.assertEqual(self.violated_guarantees(), set())
+        replies[6].status, replies[6].retry_after = 503, "9"
+        replies[6].body = refusal
+        self.assertEqual(
+            self.violated_guarantees(), {"other requests are not held back"}
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -9,6 +9,9 @@
 import dataclasses
 import resource
 
+from brasstrail.fakes import fleet, fleetcalls
+from brasstrail.tools import soakload
+
 
 @dataclasses.dataclass(frozen=True)
 class FaultInjection:
@@ -244,3 +247,17 @@
 async def burst(soak, kind):
     soak.fault_counts[kind] += 1
     await soak.load.burst(soak.random.uniform(1.0, 4.0))
+
+
+@cluster_fault("repeat a request that ends its servers")
+async def repeat_fatal_request(soak, kind):
+    soak.fault_counts[kind] += 1
+    draw = soak.random
+    request = soakload.FatalRequest(
+        f"{soak.options.seed}-{soak.fault_counts[kind]}",
+        draw.choice(sorted(fleetcalls.ROUTES)),
+        draw.choice(sorted(fleet.ENDINGS)),
+        draw.choice((("key-steady",), ("key-steady", "key-small"))),
+        draw.choice((1, 1, soak.options.gateways)),
+    )
+    await soak.load.repeat_fatal_request(request, draw.uniform(8.0, 16.0))
--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -1,6 +1,7 @@
 """The load of a soak: callers that send requests and operators that send documents."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
@@ -30,6 +31,30 @@
 OLD_KEY_AGES = range(10, 31)
 # How often an operator sends an earlier document again, as if a change were delayed.
 RESEND_PROBABILITY = 0.25
+# How often a request that ends its servers is sent again.
+FATAL_INTERVAL_S = 0.5
+# Fraction of the ordinary requests whose content no other request has.
+UNIQUE_CONTENT_FRACTION = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class FatalRequest:
+    """A request that ends each backend server that begins to execute it.
+
+    `name` distinguishes it from other such requests. `ending` is one of
+    `fleet.ENDINGS`. Each time it is sent with one of `keys`.
+    """
+
+    name: str
+    route: str
+    ending: str
+    keys: tuple[str, ...]
+    gateways_at_once: int
+
+    @property
+    def is_stream(self):
+        """Whether the answer would be an event stream."""
+        return self.route in soakcheck.STREAM_ROUTES
 
 
 class Load:
@@ -96,6 +121,8 @@
         )
         if route in soakcheck.STREAM_ROUTES:
             reply.events = self.random.randint(1, MAX_STREAM_EVENTS)
+        if self.random.random() < UNIQUE_CONTENT_FRACTION:
+            reply.query = f"?number={self.number}"
         replies.append(reply)
         address = self.gateways[gateway]
         await caller.call(address, reply, reply.events, CALL_DEADLINE_S)
@@ -124,6 +151,36 @@
 
         await asyncio.gather(*(call_until_end() for _ in range(2 * CALLER_COUNT)))
 
+    async def repeat_fatal_request(self, request, seconds):
+        """Send a request that ends its servers again and again, for some seconds.
+
+        Each round sends it to several gateways at the same time, each time with a new
+        attempt id. `request` is a `FatalRequest`.
+        """
+        end = time.monotonic() + seconds
+        calls = []
+        while time.monotonic() < end and not self.stopped:
+            names = sorted(self.gateways)
+            for gateway in self.random.sample(names, request.gateways_at_once):
+                calls.append(asyncio.ensure_future(self.send_fatal(request, gateway)))
+            await asyncio.sleep(FATAL_INTERVAL_S)
+        await asyncio.wait(calls)
+
+    async def send_fatal(self, request, gateway):
+        """Send a request that ends its servers once, on a connection of its own."""
+        self.number += 1
+        key = self.random.choice(request.keys)
+        reply = fleetcalls.Reply(
+            f"{self.number:016x}", request.route, key, gateway, time.time()
+        )
+        reply.events = MAX_STREAM_EVENTS if request.is_stream else 0
+        reply.query = f"?end={request.ending}&name={request.name}"
+        reply.fatal = request.name
+        self.observations.replies.append(reply)
+        caller = fleetcalls.Caller()
+        await caller.call(self.gateways[gateway], reply, reply.events, CALL_DEADLINE_S)
+        caller.close()
+
     async def make_final_calls(self, count):
         """Send calls to the gateways in turn, after all faults have ended.
 
