Hold back requests that end the servers that run them

Limits held for each attempt and not for their sum: state that outlives an attempt was kept by attempt id only.

Gateways now count, by a digest of method, host, target and body, the server starts that ended or broke off while they ran a request. After three the request is refused before it is sent: 503, or 502 if the attempt may have run, with the code suspect_request. What tells it from requests beside it is that it never completes: a complete answer within a minute before, or any time after, speaks for the content. A broken connection counts for 30 s; longer only if announcements confirm that the start has ended. Gateways exchange crashes with their gossip; records are merged as sets, so a lost gateway, leader or control host loses nothing that another gateway has. Holds end, double with each further crash, and differ by gateway. Tables are bounded, and a workspace that fills them displaces its own records.

GatewayState has a new field at its end, which older builds ignore.

gateway_test sent one content to eight pairs of servers that break off; each subtest now has a target of its own, since the fourth would rightly be held back. It checks what it did before.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -94,6 +94,30 @@
         self.mark_gone(announcement.identity)
         return True
 
+    def running_starts(self, announcement):
+        """Return the announcements of ready servers that an announcement may replace.
+
+        They have its identity or its address.
+        """
+        identities = (
+            announcement.identity,
+            self.by_address.get(announcement.address, announcement.identity),
+        )
+        return [
+            self.known[each].announcement
+            for each in dict.fromkeys(identities)
+            if each in self.known
+            and self.known[each].phase is servers.ServerPhase.READY
+        ]
+
+    def is_replaced(self, announcement):
+        """Return whether a later start has the identity or address of a start."""
+        known = self.known.get(announcement.identity)
+        if known is not None and known.announcement.born_ms > announcement.born_ms:
+            return True
+        holder = self.by_address.get(announcement.address, announcement.identity)
+        return holder != announcement.identity
+
     def refresh_last_seen(self, held, seen_ms):
         """Record a repeat, received through another control host; return False."""
         if seen_ms > held.last_seen_ms:
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -114,6 +114,7 @@
     failure_rate : moving average of failed calls, 0 to 1.
     backoff_ms : length of the last back-off; 0 after a success.
     backoff_until_ms : the time until which the server receives no requests.
+    heard_ms : when this gateway last received anything from the server.
     """
 
     announcement: servers.Announcement
@@ -126,6 +127,7 @@
     failure_rate: float = 0.0
     backoff_ms: int = 0
     backoff_until_ms: int = 0
+    heard_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -203,6 +205,12 @@
         server = self.servers.get(identity)
         return server.announcement.born_ms if server else 0
 
+    def record_heard(self, identity, now_ms):
+        """Record that something was received from a server."""
+        server = self.servers.get(identity)
+        if server is not None:
+            server.heard_ms = now_ms
+
     def remove_server(self, identity):
         """Remove a server."""
         self.servers.pop(identity, None)
--- /dev/null
+++ b/brasstrail/coordination/suspects.py
@@ -0,0 +1,457 @@
+"""Requests that end the backend servers that run them, as one gateway knows them.
+
+A request may make each server that runs it end. Its caller sends it again with a new
+attempt id, at any gateway, so that no limit on a single attempt applies. `Suspects`
+therefore counts by the request's content how many server starts ended, or broke off,
+while they ran it. After `MAX_CRASHES` the request is refused.
+
+What tells such a request from others that ran on the same servers is that it never
+completes. A complete answer of any server, also a failure, disproves the crashes of all
+runs of that content that were sent before it or within `TRACK_RECORD_MS` after it: a
+content that many callers send has runs on every server that ends. A broken connection
+is not yet a server that ended: it counts for `UNCONFIRMED_MS`, and longer only if the
+end of that start is confirmed by the announcements of the server or of its successor.
+
+Gateways exchange the crashes. Each crash is identified by what it is about, so that
+merging is a union and reports may be lost, repeated or reordered; its flags are only
+ever set. Any gateway passes on any crash, so that the loss of the gateway that saw it
+loses nothing. Ages are sent instead of times, since clocks differ.
+
+It uses neither sockets nor clocks.
+"""
+
+import collections
+import dataclasses
+import zlib
+
+# Server starts that a request may end before it is refused; source: the users' rule
+# on requests that crash servers.
+MAX_CRASHES = 3
+# How long a broken connection counts if the end of its server is not confirmed: several
+# times as long as it takes to notice that announcements have stopped.
+UNCONFIRMED_MS = 30_000
+# How long a completed run speaks for later runs of the same content.
+TRACK_RECORD_MS = 60_000
+# How long a request is refused after the crash that reached the limit. Each further
+# crash doubles it.
+HOLD_MS = 600_000
+MAX_HOLD_MS = 86_400_000
+# Each gateway prolongs a hold by its own part of up to this fraction, so that the
+# gateways do not all try the request again at the same time.
+HOLD_SPREAD_FRACTION = 0.5
+# Retry-After while the one run that is allowed after a hold is under way.
+MIN_RETRY_S = 1.0
+# A crash is forgotten when this many times the hold has passed.
+RETENTION_HOLDS = 2
+# Crashes are shared for this fraction of the time for which they count. Without the
+# rest, gateways would restore to each other what each has forgotten.
+SHARED_FRACTION = 2 / 3
+# Bounds of the tables, in entries. A crash takes about 600 bytes.
+MAX_CRASH_RECORDS = 4096
+MAX_LEFT_RUNS = 2048
+MAX_COMPLETIONS = 8192
+# Part of a workspace's crashes that is dropped when the table is full.
+EVICTED_FRACTION = 1 / 8
+# A run that was given up is remembered this long, in case its server turns out to have
+# ended: longer than it takes to notice that announcements have stopped.
+LEFT_RUN_MS = 15_000
+# Crashes in one message to other gateways: all that changed within the last second, so
+# that a lost datagram does not matter, and some of the older ones in turn.
+RECENT_CHANGE_MS = 1000
+MAX_RECENT_SHARED = 48
+MAX_HELD_SHARED = 8
+MAX_OTHERS_SHARED = 8
+
+
+@dataclasses.dataclass(frozen=True, eq=False)
+class Run:
+    """A request that was sent to one start of a server."""
+
+    attempt_id: str
+    content: str
+    workspace: str
+    server: str
+    born_ms: int
+    sent_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """The identity of a crash: a start of a server that ended while it ran a request.
+
+    A server that comes back under the same identity may do so before its new start is
+    known. `ordinal` tells its crashes apart: it counts those that were known when the
+    run was sent, over a connection that the server had accepted. Only the first can be
+    confirmed by the end of the start.
+    """
+
+    content: str
+    workspace: str
+    server: str
+    born_ms: int
+    ordinal: int
+
+    @property
+    def server_start(self):
+        """What identifies the start that ended, whoever sent the request."""
+        return (self.server, self.born_ms, self.ordinal)
+
+
+@dataclasses.dataclass
+class Evidence:
+    """What is known about a crash.
+
+    Attributes
+    ----------
+    sent_ms : when the run was sent.
+    ended_ms : when it broke off, or when its server was found to have ended.
+    changed_ms : when this record last changed.
+    is_confirmed : whether the server's start is known to have ended.
+    is_disproved : whether a run of the same content, sent by anyone, has completed
+        since, or within `TRACK_RECORD_MS` before the run was sent.
+    is_disproved_for_workspace : the same for runs of the crash's workspace.
+    """
+
+    sent_ms: int
+    ended_ms: int
+    changed_ms: int
+    is_confirmed: bool = False
+    is_disproved: bool = False
+    is_disproved_for_workspace: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspicion:
+    """Why a request is refused, and for how long.
+
+    `servers` are the identities of the servers that ended, `crashes` is their number,
+    `is_own` whether the caller's workspace alone has reached the limit.
+    """
+
+    servers: tuple[str, ...]
+    crashes: int
+    is_own: bool
+    retry_after_s: float
+
+
+class Suspects:
+    """The crashes that one gateway knows, and the runs that may become crashes.
+
+    Parameters
+    ----------
+    name : the gateway.
+
+    Attributes
+    ----------
+    by_content : `Evidence` by `Crash`, by content.
+    record_counts : the number of crashes by workspace.
+    open_runs : the runs without a known end, by server and start.
+    left_runs : when each of them was given up, for those that were, oldest first.
+    running_counts : the number of runs that are not given up, by content.
+    completions : when a run last completed, by content and workspace, and by content
+        and None for all workspaces; the latest last.
+    """
+
+    def __init__(self, name):
+        self.name = name
+        self.by_content = {}
+        self.record_counts = collections.Counter()
+        self.open_runs = {}
+        self.left_runs = collections.OrderedDict()
+        self.running_counts = collections.Counter()
+        self.completions = collections.OrderedDict()
+        self.rotation = 0
+
+    # Decision.
+
+    def judge(self, content, workspace, now_ms):
+        """Return the `Suspicion` for which a request is refused, or None.
+
+        When a hold has ended, one run at a time is allowed.
+        """
+        evidence = self.by_content.get(content)
+        if not evidence:
+            return None
+        suspicions = [
+            self.judge_group(content, group, is_own, now_ms)
+            for is_own, group in self.counted_groups(evidence, workspace, now_ms)
+        ]
+        suspicions = [each for each in suspicions if each is not None]
+        return max(suspicions, key=lambda each: each.retry_after_s, default=None)
+
+    def counted_groups(self, evidence, workspace, now_ms):
+        """Yield the crashes that count for all callers, then for a workspace alone.
+
+        Each is a dict of `Evidence` by server start. The first answers for a request
+        that comes from several workspaces. The second answers for a workspace whose
+        request is harmless when others send it.
+        """
+        everyone, own = {}, {}
+        for crash, each in evidence.items():
+            if not counts(each, now_ms):
+                continue
+            if not each.is_disproved:
+                everyone[crash.server_start] = each
+            if crash.workspace == workspace and not each.is_disproved_for_workspace:
+                own[crash.server_start] = each
+        yield False, everyone
+        yield True, own
+
+    def judge_group(self, content, group, is_own, now_ms):
+        """Return the `Suspicion` from `Evidence` by server start, or None.
+
+        A hold ends early when so many unconfirmed crashes have lapsed that too few
+        are left.
+        """
+        if len(group) < MAX_CRASHES:
+            return None
+        last_ms = max(each.ended_ms for each in group.values())
+        until_ms = last_ms + self.hold_ms(content, len(group))
+        lapses_ms = sorted(
+            each.ended_ms + UNCONFIRMED_MS
+            for each in group.values()
+            if not each.is_confirmed
+        )
+        spare = len(group) - MAX_CRASHES
+        if len(lapses_ms) > spare:
+            until_ms = min(until_ms, lapses_ms[spare])
+        if now_ms >= until_ms and not self.running_counts[content]:
+            return None
+        names = tuple(sorted({server for server, _, _ in group}))
+        retry_after_s = max(MIN_RETRY_S, (until_ms - now_ms) / 1000)
+        return Suspicion(names, len(group), is_own, retry_after_s)
+
+    def hold_ms(self, content, crashes):
+        """Return how long this gateway refuses a request after its last crash."""
+        hold_ms = min(MAX_HOLD_MS, HOLD_MS * 2 ** min(20, crashes - MAX_CRASHES))
+        spread = zlib.crc32(f"{self.name} {content}".encode()) / 2**32
+        return int(hold_ms * (1 + HOLD_SPREAD_FRACTION * spread))
+
+    # Runs of this gateway.
+
+    def begin(self, run):
+        """Record that a request is sent to a server."""
+        self.open_runs.setdefault((run.server, run.born_ms), set()).add(run)
+        self.running_counts[run.content] += 1
+
+    def discard(self, run):
+        """Forget a run; return whether it was open."""
+        key = run.server, run.born_ms
+        runs = self.open_runs.get(key, set())
+        if run not in runs:
+            return False
+        runs.discard(run)
+        if not runs:
+            del self.open_runs[key]
+        if self.left_runs.pop(run, None) is None:
+            self.stop_counting(run)
+        return True
+
+    def stop_counting(self, run):
+        """Record that a run is no longer under way."""
+        self.running_counts[run.content] -= 1
+        if self.running_counts[run.content] <= 0:
+            del self.running_counts[run.content]
+
+    def leave(self, run, now_ms):
+        """Record that a run was given up without knowing what its server did."""
+        if run not in self.open_runs.get((run.server, run.born_ms), ()):
+            return
+        if run not in self.left_runs:
+            self.stop_counting(run)
+        self.left_runs[run] = now_ms
+        if len(self.left_runs) > MAX_LEFT_RUNS:
+            counts_by_workspace = collections.Counter(
+                each.workspace for each in self.left_runs
+            )
+            largest = counts_by_workspace.most_common(1)[0][0]
+            self.discard(
+                next(each for each in self.left_runs if each.workspace == largest)
+            )
+
+    def complete(self, run, now_ms):
+        """Record that a server has given its whole answer, be it a failure."""
+        self.discard(run)
+        for key in ((run.content, run.workspace), (run.content, None)):
+            self.completions[key] = now_ms
+            self.completions.move_to_end(key)
+        while len(self.completions) > MAX_COMPLETIONS:
+            self.completions.popitem(last=False)
+        for crash, evidence in self.by_content.get(run.content, {}).items():
+            self.disprove(crash, evidence, now_ms)
+
+    def break_off(self, run, now_ms, is_confirmed=False):
+        """Record that a run ended without its whole answer; return a new `Crash`.
+
+        Returns None if the run's end was known, or its crash is recorded already.
+        """
+        if not self.discard(run):
+            return None
+        crash = self.crash_of(run)
+        evidence = Evidence(run.sent_ms, now_ms, now_ms, is_confirmed)
+        return crash if self.add(crash, evidence, now_ms) else None
+
+    def crash_of(self, run):
+        """Return the `Crash` of a run that broke off."""
+        start = run.server, run.born_ms
+        earlier = [
+            crash.ordinal
+            for crash, evidence in self.by_content.get(run.content, {}).items()
+            if (crash.server, crash.born_ms) == start
+            and evidence.ended_ms < run.sent_ms
+        ]
+        ordinal = max(earlier, default=-1) + 1
+        return Crash(run.content, run.workspace, run.server, run.born_ms, ordinal)
+
+    def end_server(self, server, born_ms, now_ms):
+        """Record that a start of a server has ended; return the new `Crash`es by run.
+
+        It confirms the crashes of that start, and each run there without a known end
+        becomes one.
+        """
+        found = {}
+        for run in list(self.open_runs.get((server, born_ms), ())):
+            crash = self.break_off(run, now_ms, is_confirmed=True)
+            if crash is not None:
+                found[run] = crash
+        for crash, evidence in self.all_records():
+            if crash.server_start == (server, born_ms, 0):
+                if not evidence.is_confirmed:
+                    evidence.is_confirmed = True
+                    evidence.changed_ms = now_ms
+        return found
+
+    # The table.
+
+    def all_records(self):
+        """Yield all (`Crash`, `Evidence`) pairs."""
+        for evidence in self.by_content.values():
+            yield from evidence.items()
+
+    def record_count(self):
+        """Return the number of crashes in the table."""
+        return self.record_counts.total()
+
+    def held_contents(self, now_ms):
+        """Return the contents that are refused to some callers."""
+        held = set()
+        for content, evidence in self.by_content.items():
+            for workspace in {crash.workspace for crash in evidence}:
+                if self.judge(content, workspace, now_ms) is not None:
+                    held.add(content)
+        return held
+
+    def add(self, crash, evidence, now_ms):
+        """Add a crash, or set the flags of a known one; return whether it is new."""
+        known = self.by_content.get(crash.content, {}).get(crash)
+        if known is None:
+            self.by_content.setdefault(crash.content, {})[crash] = evidence
+            self.record_counts[crash.workspace] += 1
+            self.disprove(crash, evidence, now_ms)
+            if self.record_count() > MAX_CRASH_RECORDS:
+                self.evict()
+            return True
+        for flag in ("is_confirmed", "is_disproved", "is_disproved_for_workspace"):
+            if getattr(evidence, flag) and not getattr(known, flag):
+                setattr(known, flag, True)
+                known.changed_ms = now_ms
+        return False
+
+    def disprove(self, crash, evidence, now_ms):
+        """Set the flags of a crash whose content has completed lately, or since."""
+        since_ms = evidence.sent_ms - TRACK_RECORD_MS
+        for flag, workspace in (
+            ("is_disproved", None),
+            ("is_disproved_for_workspace", crash.workspace),
+        ):
+            completed_ms = self.completions.get((crash.content, workspace))
+            is_later = completed_ms is not None and completed_ms >= since_ms
+            if is_later and not getattr(evidence, flag):
+                setattr(evidence, flag, True)
+                evidence.changed_ms = now_ms
+
+    def remove(self, crash):
+        """Remove a crash."""
+        evidence = self.by_content[crash.content]
+        del evidence[crash]
+        if not evidence:
+            del self.by_content[crash.content]
+        self.record_counts[crash.workspace] -= 1
+        if not self.record_counts[crash.workspace]:
+            del self.record_counts[crash.workspace]
+
+    def evict(self):
+        """Drop crashes of the workspace that has the most.
+
+        Those of contents with the fewest crashes go first, and then the oldest. A
+        caller that fills the table thus loses its own records, and no others.
+        """
+        workspace, count = self.record_counts.most_common(1)[0]
+        records = [
+            (len(self.by_content[crash.content]), evidence.ended_ms, crash)
+            for crash, evidence in self.all_records()
+            if crash.workspace == workspace
+        ]
+        records.sort(key=lambda each: each[:2])
+        for _, _, crash in records[: max(1, int(count * EVICTED_FRACTION))]:
+            self.remove(crash)
+
+    def remove_expired(self, now_ms):
+        """Remove what no longer counts."""
+        for run, left_ms in list(self.left_runs.items()):
+            if now_ms - left_ms <= LEFT_RUN_MS:
+                break
+            self.discard(run)
+        for content, evidence in list(self.by_content.items()):
+            lifetime_ms = self.lifetime_ms(content)
+            for crash, each in list(evidence.items()):
+                limit_ms = lifetime_ms if each.is_confirmed else UNCONFIRMED_MS
+                if now_ms - each.ended_ms > limit_ms:
+                    self.remove(crash)
+
+    def lifetime_ms(self, content):
+        """Return how long the confirmed crashes of a content are remembered."""
+        crashes = max(MAX_CRASHES, len(self.by_content[content]))
+        return RETENTION_HOLDS * self.hold_ms(content, crashes)
+
+    # Exchange with other gateways.
+
+    def shared_records(self, now_ms):
+        """Return the (`Crash`, `Evidence`) pairs for the next message to the others."""
+        recent, held, others = [], [], []
+        held_contents = self.held_contents(now_ms)
+        for crash, evidence in self.all_records():
+            if not self.is_shared(crash, evidence, now_ms):
+                continue
+            if now_ms - evidence.changed_ms <= RECENT_CHANGE_MS:
+                recent.append((crash, evidence))
+            elif crash.content in held_contents:
+                held.append((crash, evidence))
+            else:
+                others.append((crash, evidence))
+        self.rotation += 1
+        recent.sort(key=lambda pair: -pair[1].changed_ms)
+        return (
+            recent[:MAX_RECENT_SHARED]
+            + self.next_records(held, MAX_HELD_SHARED)
+            + self.next_records(others, MAX_OTHERS_SHARED)
+        )
+
+    def is_shared(self, crash, evidence, now_ms):
+        """Return whether a crash is passed on to other gateways."""
+        limit_ms = UNCONFIRMED_MS
+        if evidence.is_confirmed:
+            limit_ms = self.lifetime_ms(crash.content)
+        return now_ms - evidence.ended_ms <= SHARED_FRACTION * limit_ms
+
+    def next_records(self, records, count):
+        """Return the next `count` records, in turn."""
+        if len(records) <= count:
+            return records
+        begin = self.rotation * count % len(records)
+        return (records + records)[begin : begin + count]
+
+
+def counts(evidence, now_ms):
+    """Return whether a crash counts: it is confirmed, or recent."""
+    return evidence.is_confirmed or now_ms - evidence.ended_ms <= UNCONFIRMED_MS
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -3,12 +3,15 @@
 `Platform` drives the code of real gateways. Connections to servers and datagrams of
 gateways are objects, and datagrams are delivered only by `Platform.exchange`, so that a
 test decides what each gateway knows. A request whose target contains `end=NAME` ends
-each server that begins to run it, in the way that `ENDINGS` registers under the name.
+each server that begins to run it, in the way that `ENDINGS` registers under the name;
+`only=WORKSPACE` limits this to a workspace. The run of a request whose target contains
+`call=TARGET` first sends another request to a gateway.
 """
 
 import asyncio
 import itertools
 import types
+import urllib.parse
 
 import orjson
 import structlog
@@ -16,7 +19,7 @@
 
 from brasstrail.core import clock
 from brasstrail.protocol import messages
-from brasstrail.roles import gateway, hub, metrics
+from brasstrail.roles import gateway, gossip, hub, metrics
 from brasstrail.settings import settings
 from brasstrail.state import documents
 from brasstrail.transport import upstream
@@ -79,9 +82,14 @@
             self.chunks.put_nowait(self.head(421))
             return self.chunks.put_nowait(None)
         server.runs.append(self.attempt_id)
-        name = target.partition("end=")[2].partition("&")[0]
-        if name:
-            return await ENDINGS[name](self, target)
+        query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
+        if "call" in query:
+            await server.platform.call(server.platform.names[0], query["call"])
+        if (
+            "end" in query
+            and query.get("only", headers["X-Tenant-Id"]) == (headers["X-Tenant-Id"])
+        ):
+            return await ENDINGS[query["end"]](self)
         await server.gate.wait()
         self.chunks.put_nowait(self.head(500 if "fail" in target else 200))
         for number in range(1, STREAM_EVENTS + 1):
@@ -142,27 +150,27 @@
 
 
 @ending("reset")
-async def reset(connection, target):
+async def reset(connection):
     """Close all connections without any answer."""
     connection.server.end()
 
 
 @ending("restart")
-async def restart(connection, target):
+async def restart(connection):
     """End and come back at once, as a new start under the same identity."""
     connection.server.end()
     connection.server.start()
 
 
 @ending("silent")
-async def fall_silent(connection, target):
+async def fall_silent(connection):
     """Send nothing more on any connection."""
     connection.server.is_up = False
     await asyncio.Event().wait()
 
 
 @ending("partial")
-async def answer_in_part(connection, target):
+async def answer_in_part(connection):
     """Send the first event and half of the second, and close all connections."""
     connection.chunks.put_nowait(connection.head(200))
     connection.chunks.put_nowait(b"id: 1\ndata: x\n\nid: 2\nda")
@@ -268,6 +276,7 @@
     servers : all `Server`s.
     lines : the log entries of all gateways, as dicts.
     cut : names of gateways that receive and send no datagrams.
+    has_controls : whether gateways hear of servers.
     """
 
     def __init__(self, document, gateway_count=3):
@@ -281,6 +290,7 @@
         self.datagrams = []
         self.lines = []
         self.cut = set()
+        self.has_controls = True
         self.names = [f"g{number}" for number in range(gateway_count)]
         for name in self.names:
             self.add_gateway(name)
@@ -305,7 +315,7 @@
                 tuple(each for each in self.names if each != name),
                 tuple(f"{each}:1" for each in self.names if each != name),
                 (),
-                tuple("one" for each in self.names if each != name),
+                tuple("east" for each in self.names if each != name),
             )
         )
         self.gateways[name] = created
@@ -339,12 +349,13 @@
             4,
             0.0,
         )
-        for name in names or self.gateways:
+        for name in (names or self.gateways) if self.has_controls else ():
             self.gateways[name].apply_directory(messages.Directory(False, (record,)))
 
     def exchange(self):
-        """Let each gateway send its state to the others, and deliver all datagrams."""
+        """Let each gateway send its whole state to the others, and deliver it."""
         for each in self.gateways.values():
+            each.gossip.own_region.last_spent_ms = -gossip.SPENT_INTERVAL_MS
             each.gossip.send(each.gossip.own_region)
         while self.datagrams:
             (source, _), (target, _), payload = self.datagrams.pop(0)
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -592,12 +592,33 @@
     amount: float
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashReport:
+    """A backend server that ended, or broke off, while it ran a request.
+
+    `content` is the digest of the request, and `born_ms` with `ordinal` identify the
+    server's start. `age_ms` is how long ago the run ended, `duration_ms` how long it
+    had lasted. The flags are those of `suspects.Evidence`.
+    """
+
+    content: str
+    workspace: str
+    server: str
+    born_ms: int
+    ordinal: int
+    age_ms: int
+    duration_ms: int
+    is_confirmed: bool
+    is_disproved: bool
+    is_disproved_for_workspace: bool
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewayState:
     """The state that a gateway sends to other gateways, in one datagram.
 
-    `number` is the sequence number of the datagram. `spent` is empty if it was sent
-    shortly before.
+    `number` is the sequence number of the datagram. `spent` and `crashes` are empty if
+    they were sent shortly before.
     """
 
     name: str
@@ -605,6 +626,7 @@
     number: int
     shares: tuple[ServerShare, ...]
     spent: tuple[Spent, ...]
+    crashes: tuple[CrashReport, ...] = ()
 
 
 MESSAGES = (
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -292,6 +292,7 @@
   number @2 :Int64;
   shares @3 :List(ServerShare);
   spent @4 :List(Spent);
+  crashes @5 :List(CrashReport);
 }
 
 struct Challenge {
@@ -554,6 +555,19 @@
   amount @1 :Float64;
 }
 
+struct CrashReport {
+  content @0 :Text;
+  workspace @1 :Text;
+  server @2 :Text;
+  bornMs @3 :Int64;
+  ordinal @4 :Int64;
+  ageMs @5 :Int64;
+  durationMs @6 :Int64;
+  isConfirmed @7 :Bool;
+  isDisproved @8 :Bool;
+  isDisprovedForWorkspace @9 :Bool;
+}
+
 struct Service {
   name @0 :Text;
   kind @1 :Text;
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -208,14 +208,14 @@
         failure = None
         while True:
             try:
+                self.gateway.crashes.check(self)
                 choice = await self.acquire_server(work)
+                self.tried.add(choice.identity)
+                result = await sending.Attempt(self, choice, work).run()
             except refusals.Refused:
                 if failure is None:
                     raise
                 return self.relay_failure(failure)
-            self.tried.add(choice.identity)
-            try:
-                result = await sending.Attempt(self, choice, work).run()
             except refusals.NotRun as error:
                 self.record_failure(choice, error)
                 self.check_retry_not_run(error)
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -16,6 +16,7 @@
 from brasstrail.core import catalog, clock, errors, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import (
+    crashes,
     forwarding,
     gossip,
     lease,
@@ -121,6 +122,7 @@
         self.connections = upstream.ConnectionPool()
         self.subscription = subscription.Subscription(hub, self)
         self.gossip = gossip.Gossip(hub, self)
+        self.crashes = crashes.CrashTracker(self)
         self.waiters = {}
         self.running = {}
         self.held_bytes = 0
@@ -272,6 +274,7 @@
         is_silent = announcement.phase is servers.ServerPhase.SILENT
         if is_silent:
             announcement = registry.with_ready_phase(announcement)
+        replaced = self.directory.running_starts(announcement)
         self.directory.record_announcement(announcement, clock.now_ms() - record.age_ms)
         known = self.directory.known[record.identity].announcement
         self.log.info(
@@ -283,8 +286,21 @@
             believed=str(known.phase),
             believed_sequence=known.sequence,
         )
+        self.report_ended_starts(replaced, known, is_silent)
         self.pool.put_server(known, is_silent)
 
+    def report_ended_starts(self, replaced, known, is_silent):
+        """Tell the crash tracker which starts of servers have ended unannounced.
+
+        `replaced` are the announcements of the starts that were running, with the same
+        identity or address, before the announcement `known` was recorded.
+        """
+        for each in replaced:
+            if self.directory.is_replaced(each):
+                self.crashes.end_server(each, "server_replaced")
+        if is_silent and known.phase is servers.ServerPhase.READY:
+            self.crashes.silence_server(known)
+
     def apply_gateways(self, update):
         """Update the list of the other gateways."""
         node = self.hub.settings.node
@@ -314,6 +330,7 @@
         self.allotments.record_peer_spending(
             message.name, message.incarnation, spent, now_ms
         )
+        self.crashes.merge(message.name, message.crashes)
         self.dispatch_waiting()
 
     def state(self, number, with_spent):
@@ -322,7 +339,7 @@
         Parameters
         ----------
         number : the sequence number of the message.
-        with_spent : whether to include the allotment usage.
+        with_spent : whether to include the allotment usage and the crashes.
         """
         shares = tuple(
             messages.ServerShare(
@@ -330,14 +347,15 @@
             )
             for identity, share in self.pool.own_load_shares().items()
         )
-        spent = ()
+        spent = crash_reports = ()
         if with_spent:
+            crash_reports = self.crashes.reports()
             spent = tuple(
                 messages.Spent(workspace, amount)
                 for workspace, amount in self.allotments.spent.items()
             )
         return messages.GatewayState(
-            self.hub.name, self.hub.incarnation, number, shares, spent
+            self.hub.name, self.hub.incarnation, number, shares, spent, crash_reports
         )
 
     # Requests.
@@ -412,6 +430,7 @@
         now_ms = clock.now_ms()
         self.dispatch_waiting()
         self.gossip.tick()
+        self.crashes.tick(now_ms)
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
@@ -428,6 +447,7 @@
         gauge("gateway_peers", lambda: self.pool.gateway_count - 1)
         gauge("gateway_servers", lambda: len(self.pool.servers))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
+        self.crashes.register_gauges(gauge)
         metrics.register_bytes_sent_gauges(self.metrics, self.hub)
 
     def lease_age_gauge_ms(self):
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -232,7 +232,8 @@
         for name, step in broken_answers.items():
             with self.subTest(name):
                 first, second = await self.serve([step], [scripted.reply()])
-                status, headers, _ = await self.call("unsafe")
+                target = f"unsafe/{name.replace(' ', '-')}"
+                status, headers, _ = await self.call(target)
                 self.assertEqual(status, 502)
                 self.assertNotIn("x-server-signature", headers)
                 self.assertEqual((len(first.requests), len(second.requests)), (1, 0))
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -29,8 +29,9 @@
 # Maximum rate at which a gateway receives datagrams. By the slopes in
 # docs/CAPACITY.md this uses about 0.07 of a core when fifty servers are known.
 MAX_DATAGRAMS_PER_SECOND = 600
-# Allotment usage is sent less often than the rest of the state: the allotment slack
-# covers several seconds of usage.
+# Allotment usage and the crashes of servers are sent less often than the rest of the
+# state: the allotment slack covers several seconds of usage, and new crashes are sent
+# at once.
 SPENT_INTERVAL_MS = 250
 KEEPALIVE_MS = 1000
 MAX_DATAGRAM_BYTES = 60_000
@@ -208,6 +209,12 @@
                 group.is_scheduled = True
                 self.hub.loop.call_later(group.batch_delay_s(), self.send, group)
 
+    def send_crashes_soon(self):
+        """Schedule the state to be sent, with the crashes of servers."""
+        for group in (self.own_region, self.other_regions):
+            group.last_spent_ms = -SPENT_INTERVAL_MS
+        self.send_soon()
+
     def tick(self):
         """Send the state to each group that was sent nothing for `KEEPALIVE_MS`."""
         for group in (self.own_region, self.other_regions):
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -47,6 +47,10 @@
     request : the `forwarding.ForwardedRequest` to send.
     choice : `pool.Choice`, the target server; the work counts as started there.
     work : `pool.Work` of the request.
+
+    Attributes
+    ----------
+    tracked_run : `suspects.Run`, or None before the request is written.
     """
 
     def __init__(self, request, choice, work):
@@ -58,12 +62,14 @@
         self.work = work
         self.connection = None
         self.head = None
+        self.tracked_run = None
 
     async def run(self):
         """Send the request and relay its answer to the caller.
 
         Returns None if the caller received the answer, or a `ServerFailure`. Raises
-        `refusals.NotRun` or `refusals.ExecutionUnknown`.
+        `refusals.NotRun`, `refusals.ExecutionUnknown`, or `refusals.Refused` if the
+        request is held back meanwhile.
         """
         started_ms = clock.now_ms()
         is_complete = False
@@ -72,13 +78,26 @@
             self.write()
             result = await self.receive_answer()
             is_complete = True
+            self.gateway.crashes.complete(self.tracked_run)
             return result
+        except refusals.ServerBrokeOff as error:
+            self.gateway.crashes.break_off(self.tracked_run, error.reason)
+            raise
         finally:
+            self.end_tracking()
             held_ms = clock.now_ms() - started_ms
             self.gateway.pool.record_service_time(self.work.service, held_ms)
             self.gateway.release(self.choice.identity, self.work)
             self.release_connection(is_complete)
 
+    def end_tracking(self):
+        """Give up the tracked run, unless its end is known.
+
+        The server may still be found to have ended.
+        """
+        if self.tracked_run is not None:
+            self.gateway.crashes.leave(self.tracked_run)
+
     def release_connection(self, is_complete):
         """Return the connection to the pool for reuse, or close it."""
         if self.connection is None:
@@ -124,6 +143,7 @@
         remaining_ms = request.admitted.deadline_ms - clock.now_ms()
         if remaining_ms < 1:
             raise refusals.NotRun("time_over", False)
+        self.gateway.crashes.check(request)
         event_cutter = self.reply.event_cutter
         headers = self.gateway.dialect.server_headers(
             call,
@@ -137,6 +157,7 @@
         request.servers.append(self.choice.identity)
         request.attempts_made += 1
         request.runs += 1
+        self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
         self.connection.send(call.method, call.target, headers, request.body)
 
     # Answer.
@@ -149,7 +170,7 @@
                 self.connection.read_head, self.head_silence_timeout_ms()
             )
         except upstream.AnswerIncomplete as error:
-            raise refusals.ExecutionUnknown("broken", True) from error
+            raise refusals.ServerBrokeOff("broken") from error
         self.head = self.gateway.dialect.read_answer(start_line, headers)
         self.check_head()
         if not self.is_success():
@@ -177,6 +198,7 @@
             raise refusals.ExecutionUnknown("foreign_answer", False)
         if head.is_not_run:
             request.runs -= 1
+            self.gateway.crashes.discard(self.tracked_run)
             raise refusals.NotRun(f"not_run_{head.status}", True)
         if head.is_encoded:
             raise refusals.ExecutionUnknown("encoded_answer", False)
@@ -192,8 +214,10 @@
         head = self.head
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
+        except upstream.AnswerTooLarge as error:
+            raise refusals.ExecutionUnknown("answer_too_large", False) from error
         except upstream.AnswerIncomplete as error:
-            raise refusals.ExecutionUnknown("broken_failure", False) from error
+            raise refusals.ServerBrokeOff("broken_failure") from error
         self.gateway.pool.failed(self.choice.identity, clock.now_ms(), False)
         self.request.reasons.append(f"server_{head.status}")
         if not head.is_signed or head.status in REFUSAL_STATUSES:
@@ -207,8 +231,10 @@
             return
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
+        except upstream.AnswerTooLarge as error:
+            raise refusals.ExecutionUnknown("answer_too_large", False) from error
         except upstream.AnswerIncomplete as error:
-            raise refusals.ExecutionUnknown("broken_body", True) from error
+            raise refusals.ServerBrokeOff("broken_body") from error
         self.reply.send_complete(self.head, body)
 
     async def relay_stream(self):
@@ -223,7 +249,7 @@
                     break
                 await self.reply.relay_events(self.head, chunk)
         except upstream.AnswerIncomplete as error:
-            raise refusals.ExecutionUnknown("broken_stream", True) from error
+            raise refusals.ServerBrokeOff("broken_stream") from error
         await self.reply.end_stream(self.head)
 
     # Silence time-outs and time per token.
@@ -237,10 +263,14 @@
         """
         while True:
             try:
-                return await asyncio.wait_for(read(), timeout_ms / 1000)
+                received = await asyncio.wait_for(read(), timeout_ms / 1000)
             except asyncio.TimeoutError:
                 if self.request.can_fail_over(self.work):
                     raise refusals.ExecutionUnknown("silent", True) from None
+            else:
+                now_ms = clock.now_ms()
+                self.gateway.pool.record_heard(self.choice.identity, now_ms)
+                return received
 
     def head_silence_timeout_ms(self):
         """Return the time-out for the head of the answer, in milliseconds."""
--- a/brasstrail/roles/suspects_test.py
+++ b/brasstrail/roles/suspects_test.py
@@ -1,9 +1,12 @@
 """Tests of requests that end the servers that run them, without a network."""
 
+import asyncio
 import unittest
 
 import brasstrail.platform  # noqa: F401
+from brasstrail.core import clock
 from brasstrail.fakes import memory
+from brasstrail.roles import crashes
 
 # The users' bound: servers that a request may end before it is refused.
 MAX_SERVERS_ENDED = 3
@@ -31,14 +34,17 @@
         make_route("unsafe", "non_idempotent"),
         make_route("stream", "streaming"),
         make_route("resumed", "streaming", resumable=True),
+        make_route("outer", "idempotent", service="o"),
     ],
-    "services": [{"name": "s", "max_conns": 9}],
+    "services": [{"name": "s", "max_conns": 9}, {"name": "o", "max_conns": 9}],
     "tenants": [
         {"name": "w", "api_keys": ["k"]},
         {"name": "v", "api_keys": ["other"]},
     ],
 }
-ROUTES = tuple(route["name"] for route in DOCUMENT["routes"])
+ROUTES = ("safe", "unsafe", "stream", "resumed")
+# A caller's deadline that ends the wait for a silent server.
+SHORT_DEADLINE = {"X_Deadline_Ms": "60"}
 
 
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
@@ -56,6 +62,17 @@
         self.platform.forget_failures()
         self.platform.exchange()
 
+    async def repeat(self, target, times, keys=("k",), **headers):
+        """Send a request to the gateways in turn; return the servers ended by it."""
+        before = self.platform.run_count()
+        names = self.platform.names
+        for attempt in range(times):
+            key = keys[attempt % len(keys)]
+            name = names[attempt % len(names)]
+            await self.platform.call(name, target, key, **headers)
+            self.restart_servers()
+        return self.platform.run_count() - before
+
 
 class RepeatedRequestTest(PlatformCase):
     """A request that ends its servers comes again at gateways in turn."""
@@ -77,6 +94,250 @@
                 ended = self.platform.run_count() - before
                 self.assertLessEqual(ended, MAX_SERVERS_ENDED)
 
+    async def test_each_way_in_which_servers_end(self):
+        for route in ROUTES:
+            for ending in memory.ENDINGS:
+                with self.subTest(route=route, ending=ending):
+                    ended = await self.repeat(
+                        f"/{route}/x?end={ending}", 8, **SHORT_DEADLINE
+                    )
+                    self.assertLessEqual(ended, MAX_SERVERS_ENDED)
+                    self.assertGreater(ended, 0)
+
+    async def test_request_comes_from_several_callers(self):
+        ended = await self.repeat("/unsafe/x?end=reset", 8, ("k", "other"))
+        self.assertEqual(ended, MAX_SERVERS_ENDED)
+
+    async def test_request_comes_at_all_gateways_at_the_same_moment(self):
+        for route in ROUTES:
+            with self.subTest(route):
+                target = f"/{route}/x?end=reset"
+                begun = self.platform.run_count()
+                for _ in range(4):
+                    before = self.platform.run_count()
+                    calls = [
+                        self.platform.call(name, target) for name in self.platform.names
+                    ]
+                    await asyncio.gather(*calls)
+                    self.restart_servers()
+                    if before - begun >= MAX_SERVERS_ENDED:
+                        self.assertEqual(self.platform.run_count(), before)
+                self.assertGreaterEqual(
+                    self.platform.run_count() - begun, MAX_SERVERS_ENDED
+                )
+
+    async def test_caller_resumes_a_stream_with_the_last_event(self):
+        before = self.platform.run_count()
+        for number in range(8):
+            name = self.platform.names[number % 3]
+            resumed_after = {"Last_Event_Id": str(number)}
+            await self.platform.call(
+                name, "/stream/x?end=partial", "k", **resumed_after
+            )
+            self.restart_servers()
+        self.assertEqual(self.platform.run_count() - before, MAX_SERVERS_ENDED)
+
+    async def test_caller_sends_a_new_idempotency_key_each_time(self):
+        before = self.platform.run_count()
+        for number in range(8):
+            headers = {"Idempotency_Key": str(number)}
+            await self.platform.call("g0", "/unsafe/x?end=reset", "k", **headers)
+            self.restart_servers()
+        self.assertEqual(self.platform.run_count() - before, MAX_SERVERS_ENDED)
+
+    async def test_run_of_another_request_makes_the_call(self):
+        """The inner request is held back; the outer one, which completes, is not."""
+        self.platform.add_servers("o", 1)
+        outer = self.platform.servers[-1]
+        for _ in range(8):
+            reply = await self.platform.call(
+                "g1", "/outer/x?call=%2Funsafe%2Fx%3Fend%3Dreset"
+            )
+            self.assertEqual(reply.status, 200)
+            self.restart_servers()
+        self.assertEqual(len(outer.runs), 8)
+        inner = self.platform.run_count() - len(outer.runs)
+        self.assertEqual(inner, MAX_SERVERS_ENDED)
+
+    async def test_request_ends_servers_for_one_workspace_only(self):
+        target = "/unsafe/x?end=reset&only=w"
+        reply = await self.platform.call("g0", target, "other")
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(await self.repeat(target, 8), MAX_SERVERS_ENDED)
+        reply = await self.platform.call("g1", target, "other")
+        self.assertEqual(reply.status, 200)
+
+
+class LostProcessTest(PlatformCase):
+    """Processes of the system are lost between the crashes."""
+
+    async def test_gateway_that_saw_a_crash_is_killed(self):
+        target = "/unsafe/x?end=reset"
+        before = self.platform.run_count()
+        for name in ("g0", "g1", "g2", "g0", "g1", "g2"):
+            await self.platform.call(name, target)
+            self.restart_servers()
+            self.platform.add_gateway(name)
+            self.platform.exchange()
+        self.assertEqual(self.platform.run_count() - before, MAX_SERVERS_ENDED)
+
+    async def test_gateway_that_was_cut_off_learns_of_the_crashes(self):
+        self.platform.cut.add("g2")
+        self.assertEqual(await self.repeat("/unsafe/x?end=reset", 2), 2)
+        self.platform.cut.clear()
+        self.platform.exchange()
+        self.assertEqual(await self.repeat("/unsafe/x?end=reset", 6), 1)
+
+    async def test_gateways_hear_nothing_of_servers(self):
+        """Without control hosts a broken connection is all that gateways see."""
+        self.platform.has_controls = False
+        ended = await self.repeat("/unsafe/x?end=reset", 8)
+        self.assertEqual(ended, MAX_SERVERS_ENDED)
+
+    async def test_silent_server_is_found_when_its_announcements_stop(self):
+        server_count = 0
+        for number in range(8):
+            reply = await self.platform.call(
+                self.platform.names[number % 3],
+                "/unsafe/x?end=silent",
+                **SHORT_DEADLINE,
+            )
+            server_count += reply.status == 504
+            for server in self.platform.servers:
+                if not server.is_up:
+                    self.platform.announce(server, "silent")
+            self.restart_servers()
+        self.assertEqual(server_count, MAX_SERVERS_ENDED)
+
+
+class AnswerTest(PlatformCase):
+    """What the caller of a request that is held back gets, and what the log says."""
+
+    async def test_refusal_is_typed_and_true(self):
+        target = "/unsafe/x?end=reset"
+        await self.repeat(target, MAX_SERVERS_ENDED)
+        before = self.platform.run_count()
+        reply = await self.platform.call("g0", target)
+        self.assertEqual((reply.status, reply.code), (503, crashes.REFUSAL_REASON))
+        self.assertGreater(float(reply.headers["Retry-After"]), 1)
+        self.assertEqual(self.platform.run_count(), before)
+
+    async def test_attempt_that_has_run_is_not_called_not_run(self):
+        target = "/safe/x?end=reset"
+        self.assertEqual(await self.repeat(target, 1), 2)
+        reply = await self.platform.call("g1", target)
+        self.assertEqual((reply.status, reply.code), (502, crashes.REFUSAL_REASON))
+
+    async def test_log_names_request_and_servers(self):
+        target = "/unsafe/x?end=reset"
+        await self.repeat(target, MAX_SERVERS_ENDED + 1)
+        held = [
+            line
+            for line in self.platform.lines
+            if line["event"] == "crashes: A request is held back."
+        ]
+        self.assertEqual(len(held), 1)
+        ended = [
+            line
+            for line in self.platform.lines
+            if line["event"].startswith("crashes: A server ended") and line["id"]
+        ]
+        self.assertEqual({line["content"] for line in ended}, {held[0]["content"]})
+        self.assertEqual(
+            {line["server"] for line in ended}, set(held[0]["servers"].split(","))
+        )
+        (last,) = [
+            line
+            for line in self.platform.lines
+            if line["event"] == "forwarding: A request ended."
+            and line["id"] == held[0]["id"]
+        ]
+        self.assertEqual(last["outcome"], crashes.REFUSAL_REASON)
+
+
+class InnocentRequestTest(PlatformCase):
+    """Other requests are served and retried, whatever happens to their servers."""
+
+    async def call_beside(self, target, fatal_target):
+        """Begin a request and, while it runs, send one that ends its server."""
+        for server in self.platform.servers:
+            server.gate.clear()
+        task, reply = self.platform.begin("g0", target)
+        await asyncio.sleep(0.01)
+        (server,) = [each for each in self.platform.servers if each.connections]
+        for each in self.platform.servers:
+            each.gate.set()
+            if each is not server:
+                self.platform.announce(each, "leaving")
+        await self.platform.call("g1", fatal_target)
+        for each in self.platform.servers:
+            each.is_up = False
+        self.restart_servers()
+        await asyncio.wait([task])
+        return reply
+
+    async def test_requests_beside_a_fatal_one_are_served_when_they_come_again(self):
+        for number in range(10):
+            target = f"/unsafe/{number}"
+            reply = await self.call_beside(target, "/unsafe/x?end=reset")
+            self.assertIn(reply.status, (200, 502))
+            reply = await self.platform.call("g2", target)
+            self.assertEqual(reply.status, 200)
+
+    async def test_content_that_many_callers_send_is_never_held_back(self):
+        for _ in range(10):
+            reply = await self.platform.call("g0", "/unsafe/hot")
+            self.assertEqual(reply.status, 200)
+            await self.call_beside("/unsafe/hot", "/unsafe/x?end=reset")
+        self.assertFalse(
+            [line for line in self.platform.lines if line.get("outcome") == "fault"]
+        )
+
+    async def test_all_servers_crash_by_themselves_again_and_again(self):
+        """Requests run on servers that end without being the cause, for ten rounds.
+
+        Each caller sends its request again once.
+        """
+        held = 0
+        for number in range(10):
+            for server in self.platform.servers:
+                server.gate.clear()
+            begun = [
+                self.platform.begin(name, f"/{route}/{name}-{number}")
+                for name in self.platform.names
+                for route in ROUTES
+            ]
+            await asyncio.sleep(0.01)
+            for server in self.platform.servers:
+                server.end()
+                server.gate.set()
+            self.restart_servers()
+            await asyncio.wait([task for task, _ in begun])
+            for _, reply in begun:
+                held += reply.code == crashes.REFUSAL_REASON
+            for name in self.platform.names:
+                for route in ROUTES:
+                    reply = await self.platform.call(name, f"/{route}/{name}-{number}")
+                    self.assertEqual(reply.status, 200)
+        self.assertEqual(held, 0)
+
+    async def test_server_that_is_cut_off_from_control_hosts_only(self):
+        """A server that still answers has not ended, though nobody hears of it."""
+        for server in self.platform.servers:
+            server.gate.clear()
+        task, _ = self.platform.begin("g0", "/unsafe/x")
+        await asyncio.sleep(0.01)
+        tracker = self.platform.gateways["g0"].crashes
+        for server in self.platform.servers:
+            self.platform.gateways["g0"].pool.record_heard(
+                server.identity, clock.now_ms()
+            )
+            self.platform.announce(server, "silent")
+        self.assertEqual(tracker.suspects.record_count(), 0)
+        for server in self.platform.servers:
+            server.gate.set()
+        await asyncio.wait([task])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -329,6 +329,7 @@
         f"seed {options.seed}: {sum(soak.fault_counts.values())} faults, "
         f"{len(soak.observations.replies)} requests ({status_counts}), "
         f"{acknowledged} of {len(soak.observations.documents)} documents, "
+        f"{len(soakcheck.find_wrong_refusals(soak.observations))} wrongly held back, "
         f"{len(violations)} violations"
     )
     for guarantee, details in violations[:MAX_PRINTED_VIOLATIONS]:
@@ -342,6 +343,7 @@
         "faults": dict(soak.fault_counts),
         "requests": len(soak.observations.replies),
         "documents": len(soak.observations.documents),
+        "wrongly_held_back": len(soakcheck.find_wrong_refusals(soak.observations)),
         "violations": [[guarantee, repr(details)] for guarantee, details in violations],
     }
     with open(out, "ab") as file:
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -38,6 +38,10 @@
     """The request was sent, but its complete answer was not received."""
 
 
+class AnswerTooLarge(AnswerIncomplete):
+    """The answer exceeds the size limit, so that the rest of it was not read."""
+
+
 class Answer(httputil.HTTPMessageDelegate):
     """An answer that is being received.
 
@@ -154,7 +158,8 @@
     async def read_body(self, max_bytes):
         """Return the complete body.
 
-        Raises `AnswerIncomplete` if it ended early or exceeds `max_bytes`.
+        Raises `AnswerIncomplete` if it ended early, or `AnswerTooLarge` if it exceeds
+        `max_bytes`.
         """
         chunks = []
         size = 0
@@ -162,7 +167,7 @@
             chunks.append(chunk)
             size += len(chunk)
             if size > max_bytes:
-                raise AnswerIncomplete("The answer's body exceeds the size limit.")
+                raise AnswerTooLarge("The answer's body exceeds the size limit.")
         return b"".join(chunks)
 
     def try_mark_idle(self, keep_alive_timeout_s):
