--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -310,6 +310,23 @@
         await self.call("unsafe")
         self.assertEqual((len(first.requests), len(second.requests)), (0, 1))
 
+    async def test_server_replaced_at_its_address_receives_no_requests(self):
+        """Guards against requests to a former identity, which its successor rejects.
+
+        Each of them was an arrival that the retry budget had to pay for.
+        """
+        (server,) = await self.serve([scripted.reply()])
+        successor = messages.ServerRecord(
+            "i9", "s", server.address, "east", "ready", 2, 1, 4, 0.0
+        )
+        self.gateway.apply_directory(messages.Directory(False, (successor,)))
+        self.assertEqual(list(self.gateway.pool.servers), ["i9"])
+        await self.call("unsafe")
+        (request,) = server.requests
+        self.assertEqual(request.headers["x-expected-instance"], "i9")
+        self.announce("i0", server.address, sequence=2)
+        self.assertEqual(list(self.gateway.pool.servers), ["i9"])
+
     def remove_servers(self):
         for identity in list(self.gateway.pool.servers):
             self.gateway.pool.remove_server(identity)
