Keep the retry budget while gateways know too few others

A lower number now applies only after a whole window; a higher one at once. More than ten gateways that all start at once still assume too few until they are told.

--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -342,7 +342,7 @@
             reason=self.reasons[-1] if self.reasons else "",
             retries=len(budget.retries[service]),
             allowance=round(budget.allowance(service, now_ms), 1),
-            gateways=budget.gateway_count,
+            gateways=budget.sharing_gateways(now_ms),
         )
         return is_allowed
 
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -313,8 +313,9 @@
                 region = node.regions.get(data_centre, node.region)
                 others.append(gossip.Peer(name, address, data_centre, region))
         self.gossip.set_peers(others)
-        self.allotments.set_peers([peer.name for peer in others], clock.now_ms())
-        self.budget.gateway_count = len(others) + 1
+        now_ms = clock.now_ms()
+        self.allotments.set_peers([peer.name for peer in others], now_ms)
+        self.budget.set_gateway_count(len(others) + 1, now_ms)
         self.pool.gateway_count = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
