Share old crashes more slowly, and sort out few of them

With 4,000 crashes in the table one message to other gateways took 15 ms to put together, up to eight times a second; and each gateway that learned of a crash sent it on for a second, so that all gateways received each crash from all others. Only the gateway that saw or changed a crash sends it at once now; the others pass on a few at random, which still brings a gateway that has started up to date (suspects_test). Contents with fewer crashes than the limit are not judged.

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -28,6 +28,7 @@
 
 import collections
 import dataclasses
+import random
 import zlib
 
 # Server starts that a request may end before it is refused; source: the users' rule
@@ -66,12 +67,14 @@
 # A run that was given up is remembered this long, in case its server turns out to have
 # ended: longer than it takes to notice that announcements have stopped.
 LEFT_RUN_MS = 15_000
-# Crashes in one message to other gateways: all that changed within the last second, so
-# that a lost datagram does not matter, and some of the older ones in turn.
+# Crashes in one message to other gateways: those that this gateway saw or changed in
+# the last second, so that a lost datagram does not matter, and a few of the others, for
+# gateways that have started or were cut off. At most four such messages a second are
+# sent to a gateway, so that 70 gateways receive some 500 of the others a second.
 RECENT_CHANGE_MS = 1000
 MAX_RECENT_SHARED = 48
-MAX_HELD_SHARED = 8
-MAX_OTHERS_SHARED = 8
+MAX_HELD_SHARED = 6
+MAX_OTHERS_SHARED = 2
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -116,7 +119,8 @@
     ----------
     sent_ms : when the run was sent.
     ended_ms : when it broke off, or when its server was found to have ended.
-    changed_ms : when this record last changed.
+    changed_ms : when this gateway last changed the record, or None if it has only
+        learned it from another.
     is_confirmed : whether the server's start is known to have ended.
     is_disproved : whether a run of the same content, sent by anyone, has completed
         since, or within `TRACK_RECORD_MS` before the run was sent.
@@ -125,7 +129,7 @@
 
     sent_ms: int
     ended_ms: int
-    changed_ms: int
+    changed_ms: int | None
     is_confirmed: bool = False
     is_disproved: bool = False
     is_disproved_for_workspace: bool = False
@@ -173,7 +177,7 @@
         self.left_runs = collections.OrderedDict()
         self.running_counts = collections.Counter()
         self.completions = collections.OrderedDict()
-        self.rotation = 0
+        self.random = random.Random(name)
         self.attributed = ()
         self.attributed_until_ms = 0
 
@@ -214,6 +218,8 @@
         """Return (content, server starts attributed to it), those with most first."""
         candidates = {}
         for content, evidence in self.by_content.items():
+            if len(evidence) < MAX_CRASHES:
+                continue
             counted = {
                 crash.server_start: each.ended_ms - each.sent_ms
                 for crash, each in evidence.items()
@@ -269,9 +275,8 @@
 
         `excess` is the number of crashes beyond the limit.
         """
-        hold_ms = min(MAX_HOLD_MS, HOLD_MS * 2 ** min(20, excess))
         spread = zlib.crc32(f"{self.name} {content}".encode()) / 2**32
-        return int(hold_ms * (1 + HOLD_SPREAD_FRACTION * spread))
+        return int(shortest_hold_ms(excess) * (1 + HOLD_SPREAD_FRACTION * spread))
 
     # Runs of this gateway.
 
@@ -381,12 +386,15 @@
 
     def held_contents(self, now_ms):
         """Return the contents that are refused to some callers."""
-        held = set()
-        for content, evidence in self.by_content.items():
-            for workspace in {crash.workspace for crash in evidence}:
-                if self.judge(content, workspace, now_ms) is not None:
-                    held.add(content)
-        return held
+        return {
+            content
+            for content, evidence in self.by_content.items()
+            if len(evidence) >= MAX_CRASHES
+            and any(
+                self.judge(content, workspace, now_ms) is not None
+                for workspace in {crash.workspace for crash in evidence}
+            )
+        }
 
     def add(self, crash, evidence, now_ms):
         """Add a crash, or set the flags of a known one; return whether it is new."""
@@ -404,7 +412,6 @@
         for flag in ("is_confirmed", "is_disproved", "is_disproved_for_workspace"):
             if getattr(evidence, flag) and not getattr(known, flag):
                 setattr(known, flag, True)
-                known.changed_ms = now_ms
         return False
 
     def disprove(self, crash, evidence, now_ms):
@@ -464,7 +471,8 @@
     def lifetime_ms(self, content):
         """Return how long the confirmed crashes of a content are remembered."""
         excess = max(0, len(self.by_content[content]) - MAX_CRASHES)
-        return RETENTION_HOLDS * self.hold_ms(content, excess)
+        longest_hold_ms = shortest_hold_ms(excess) * (1 + HOLD_SPREAD_FRACTION)
+        return RETENTION_HOLDS * longest_hold_ms
 
     # Exchange with other gateways.
 
@@ -472,36 +480,33 @@
         """Return the (`Crash`, `Evidence`) pairs for the next message to the others."""
         recent, held, others = [], [], []
         held_contents = self.held_contents(now_ms)
-        for crash, evidence in self.all_records():
-            if not self.is_shared(crash, evidence, now_ms):
-                continue
-            if now_ms - evidence.changed_ms <= RECENT_CHANGE_MS:
-                recent.append((crash, evidence))
-            elif crash.content in held_contents:
-                held.append((crash, evidence))
-            else:
-                others.append((crash, evidence))
-        self.rotation += 1
+        for content, evidence in self.by_content.items():
+            older = held if content in held_contents else others
+            lifetime_ms = self.lifetime_ms(content)
+            for crash, each in evidence.items():
+                limit_ms = lifetime_ms if each.is_confirmed else UNCONFIRMED_MS
+                if now_ms - each.ended_ms > SHARED_FRACTION * limit_ms:
+                    continue
+                is_recent = (
+                    each.changed_ms is not None
+                    and now_ms - each.changed_ms <= RECENT_CHANGE_MS
+                )
+                (recent if is_recent else older).append((crash, each))
         recent.sort(key=lambda pair: -pair[1].changed_ms)
         return (
             recent[:MAX_RECENT_SHARED]
-            + self.next_records(held, MAX_HELD_SHARED)
-            + self.next_records(others, MAX_OTHERS_SHARED)
+            + self.draw_records(held, MAX_HELD_SHARED)
+            + self.draw_records(others, MAX_OTHERS_SHARED)
         )
 
-    def is_shared(self, crash, evidence, now_ms):
-        """Return whether a crash is passed on to other gateways."""
-        limit_ms = UNCONFIRMED_MS
-        if evidence.is_confirmed:
-            limit_ms = self.lifetime_ms(crash.content)
-        return now_ms - evidence.ended_ms <= SHARED_FRACTION * limit_ms
-
-    def next_records(self, records, count):
-        """Return the next `count` records, in turn."""
-        if len(records) <= count:
-            return records
-        begin = self.rotation * count % len(records)
-        return (records + records)[begin : begin + count]
+    def draw_records(self, records, count):
+        """Return up to `count` of the records."""
+        return self.random.sample(records, min(count, len(records)))
+
+
+def shortest_hold_ms(excess):
+    """Return the hold of a request with `excess` crashes beyond the limit."""
+    return min(MAX_HOLD_MS, HOLD_MS * 2 ** min(20, excess))
 
 
 def counts(evidence, now_ms):
