--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -72,6 +72,7 @@
 # gateways that have started or were cut off. At most four such messages a second are
 # sent to a gateway, so that 70 gateways receive some 500 of the others a second.
 RECENT_CHANGE_MS = 1000
+MAX_CHANGES = 256
 MAX_RECENT_SHARED = 48
 MAX_HELD_SHARED = 6
 MAX_OTHERS_SHARED = 2
@@ -119,8 +120,6 @@
     ----------
     sent_ms : when the run was sent.
     ended_ms : when it broke off, or when its server was found to have ended.
-    changed_ms : when this gateway last changed the record, or None if it has only
-        learned it from another.
     is_confirmed : whether the server's start is known to have ended.
     is_disproved : whether a run of the same content, sent by anyone, has completed
         since, or within `TRACK_RECORD_MS` before the run was sent.
@@ -129,7 +128,6 @@
 
     sent_ms: int
     ended_ms: int
-    changed_ms: int | None
     is_confirmed: bool = False
     is_disproved: bool = False
     is_disproved_for_workspace: bool = False
@@ -165,6 +163,7 @@
     running_counts : the number of runs that are not given up, by content.
     completions : when a run last completed, by content and workspace, and by content
         and None for all workspaces; the latest last.
+    changes : (time, `Crash`) of the changes that this gateway made, oldest first.
     attributed : (content, server starts attributed to it), in the order of attribution.
     attributed_until_ms : until when `attributed` is valid if no crash changes.
     """
@@ -177,6 +176,7 @@
         self.left_runs = collections.OrderedDict()
         self.running_counts = collections.Counter()
         self.completions = collections.OrderedDict()
+        self.changes = collections.deque(maxlen=MAX_CHANGES)
         self.random = random.Random(name)
         self.attributed = ()
         self.attributed_until_ms = 0
@@ -339,8 +339,10 @@
         if not self.discard(run):
             return None
         crash = self.crash_of(run)
-        evidence = Evidence(run.sent_ms, now_ms, now_ms, is_confirmed)
-        return crash if self.add(crash, evidence, now_ms) else None
+        evidence = Evidence(run.sent_ms, now_ms, is_confirmed)
+        is_new = self.add(crash, evidence, now_ms)
+        self.changes.append((now_ms, crash))
+        return crash if is_new else None
 
     def crash_of(self, run):
         """Return the `Crash` of a run that broke off."""
@@ -370,7 +372,7 @@
                 if not evidence.is_confirmed:
                     evidence.is_confirmed = True
                     self.attributed_until_ms = 0
-                    evidence.changed_ms = now_ms
+                    self.changes.append((now_ms, crash))
         return found
 
     # The table.
@@ -426,7 +428,7 @@
             is_later = completed_ms is not None and completed_ms >= since_ms
             if is_later and not getattr(evidence, flag):
                 setattr(evidence, flag, True)
-                evidence.changed_ms = now_ms
+                self.changes.append((now_ms, crash))
 
     def remove(self, crash):
         """Remove a crash."""
@@ -478,30 +480,44 @@
 
     def shared_records(self, now_ms):
         """Return the (`Crash`, `Evidence`) pairs for the next message to the others."""
-        recent, held, others = [], [], []
         held_contents = self.held_contents(now_ms)
-        for content, evidence in self.by_content.items():
-            older = held if content in held_contents else others
-            lifetime_ms = self.lifetime_ms(content)
-            for crash, each in evidence.items():
-                limit_ms = lifetime_ms if each.is_confirmed else UNCONFIRMED_MS
-                if now_ms - each.ended_ms > SHARED_FRACTION * limit_ms:
-                    continue
-                is_recent = (
-                    each.changed_ms is not None
-                    and now_ms - each.changed_ms <= RECENT_CHANGE_MS
-                )
-                (recent if is_recent else older).append((crash, each))
-        recent.sort(key=lambda pair: -pair[1].changed_ms)
-        return (
-            recent[:MAX_RECENT_SHARED]
-            + self.draw_records(held, MAX_HELD_SHARED)
-            + self.draw_records(others, MAX_OTHERS_SHARED)
+        held = [crash for each in held_contents for crash in self.by_content[each]]
+        others = [
+            crash
+            for content in self.draw(list(self.by_content), MAX_OTHERS_SHARED)
+            for crash in self.by_content[content]
+        ]
+        chosen = dict.fromkeys(
+            self.recent_changes(now_ms)
+            + self.draw(held, MAX_HELD_SHARED)
+            + self.draw(others, MAX_OTHERS_SHARED)
         )
+        return [
+            (crash, self.by_content[crash.content][crash])
+            for crash in chosen
+            if self.is_shared(crash, now_ms)
+        ]
 
-    def draw_records(self, records, count):
-        """Return up to `count` of the records."""
-        return self.random.sample(records, min(count, len(records)))
+    def recent_changes(self, now_ms):
+        """Return the crashes that this gateway changed lately, the latest first."""
+        while self.changes and now_ms - self.changes[0][0] > RECENT_CHANGE_MS:
+            self.changes.popleft()
+        recent = dict.fromkeys(crash for _, crash in reversed(self.changes))
+        return list(recent)[:MAX_RECENT_SHARED]
+
+    def is_shared(self, crash, now_ms):
+        """Return whether a crash is in the table, and passed on to other gateways."""
+        evidence = self.by_content.get(crash.content, {}).get(crash)
+        if evidence is None:
+            return False
+        limit_ms = UNCONFIRMED_MS
+        if evidence.is_confirmed:
+            limit_ms = self.lifetime_ms(crash.content)
+        return now_ms - evidence.ended_ms <= SHARED_FRACTION * limit_ms
+
+    def draw(self, items, count):
+        """Return up to `count` of the items."""
+        return self.random.sample(items, min(count, len(items)))
 
 
 def shortest_hold_ms(excess):
--- a/brasstrail/coordination/suspects_test.py
+++ b/brasstrail/coordination/suspects_test.py
@@ -49,8 +49,7 @@
     def receive(self, other, now_ms):
         """Merge what another gateway shares."""
         for crash, evidence in other.suspects.shared_records(now_ms):
-            learned = dataclasses.replace(evidence, changed_ms=None)
-            self.suspects.add(crash, learned, now_ms)
+            self.suspects.add(crash, dataclasses.replace(evidence), now_ms)
 
 
 class GatewayCase(unittest.TestCase):
@@ -329,7 +328,6 @@
                     for crash, evidence in sender.suspects.shared_records(now_ms):
                         moved = dataclasses.replace(
                             evidence,
-                            changed_ms=None,
                             ended_ms=evidence.ended_ms + 100,
                             sent_ms=evidence.sent_ms + 100,
                         )
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -307,7 +307,6 @@
         created.connections = ServerConnections(self)
         created.http = types.SimpleNamespace(conn_params=types.SimpleNamespace())
         created.gossip.transport = Transport(self, (name, 1))
-        created.lease.renewed_ms = clock.boot_ms()
         packed = documents.pack(orjson.dumps(self.document))
         created.apply_document(messages.Document(self.document["version"], packed))
         created.apply_gateways(
@@ -370,7 +369,11 @@
                 server.backoff_until_ms = 0
 
     def begin(self, name, target, key="k", **headers):
-        """Send a request with a new attempt id; return its task and connection."""
+        """Send a request with a new attempt id; return its task and connection.
+
+        The gateway's lease is renewed first, however long the test has taken.
+        """
+        self.gateways[name].lease.renewed_ms = clock.boot_ms()
         connection = CallerConnection()
         fields = {
             "Host": HOST,
--- a/brasstrail/roles/crashes.py
+++ b/brasstrail/roles/crashes.py
@@ -131,7 +131,6 @@
             evidence = suspects.Evidence(
                 ended_ms - each.duration_ms,
                 ended_ms,
-                None,
                 each.is_confirmed,
                 each.is_disproved,
                 each.is_disproved_for_workspace,
