Bound the work and the harm of many crashes at once

While all servers of a service end, whatever they run, thousands of contents reach the limit.

Attribution works with a queue in which only the first is counted anew, and its result is kept by server start; a large table is gone through five times a second at most. A completed run speaks for its content for ten minutes, a hold lasts an hour at most, and the crashes of a content are forgotten together.

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -28,6 +28,7 @@
 
 import collections
 import dataclasses
+import heapq
 import random
 import zlib
 
@@ -40,12 +41,13 @@
 # How long a broken connection counts if the end of its server is not confirmed: several
 # times as long as it takes to notice that announcements have stopped.
 UNCONFIRMED_MS = 30_000
-# How long a completed run speaks for later runs of the same content.
-TRACK_RECORD_MS = 60_000
+# How long a completed run speaks for later runs of the same content: also while all
+# servers of its service end again and again, whatever they run.
+TRACK_RECORD_MS = 600_000
 # How long a request is refused after the crash that reached the limit. Each further
 # crash doubles it.
 HOLD_MS = 600_000
-MAX_HOLD_MS = 86_400_000
+MAX_HOLD_MS = 3_600_000
 # Each gateway prolongs a hold by its own part of up to this fraction, so that the
 # gateways do not all try the request again at the same time.
 HOLD_SPREAD_FRACTION = 0.5
@@ -53,12 +55,16 @@
 MIN_RETRY_S = 1.0
 # How long attributions are kept if no crash changes: unconfirmed crashes lapse.
 ATTRIBUTION_VALIDITY_MS = 1000
-# A crash is forgotten when this many times the hold has passed.
+# Shortest time between two attributions in a table of more than so many contents: one
+# takes about 17 ms if the table is full.
+MIN_ATTRIBUTION_INTERVAL_MS = 200
+LARGE_TABLE_CONTENTS = 400
+# A content is forgotten when this many times its hold has passed.
 RETENTION_HOLDS = 2
 # Crashes are shared for this fraction of the time for which they count. Without the
 # rest, gateways would restore to each other what each has forgotten.
 SHARED_FRACTION = 2 / 3
-# Bounds of the tables, in entries. A crash takes about 600 bytes.
+# Bounds of the tables, in entries. A crash takes about 700 bytes.
 MAX_CRASH_RECORDS = 4096
 MAX_LEFT_RUNS = 2048
 MAX_COMPLETIONS = 8192
@@ -68,14 +74,14 @@
 # ended: longer than it takes to notice that announcements have stopped.
 LEFT_RUN_MS = 15_000
 # Crashes in one message to other gateways: those that this gateway saw or changed in
-# the last second, so that a lost datagram does not matter, and a few of the others, for
-# gateways that have started or were cut off. At most four such messages a second are
-# sent to a gateway, so that 70 gateways receive some 500 of the others a second.
+# the last second, so that a lost datagram does not matter, and up to `MAX_CRASHES` of
+# a few contents, at the limit and others, for gateways that have started or were cut
+# off. A gateway is sent at most four such messages a second by each other one.
 RECENT_CHANGE_MS = 1000
 MAX_CHANGES = 256
 MAX_RECENT_SHARED = 48
-MAX_HELD_SHARED = 6
-MAX_OTHERS_SHARED = 2
+MAX_HELD_SHARED = 2
+MAX_OTHERS_SHARED = 1
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -164,8 +170,10 @@
     completions : when a run last completed, by content and workspace, and by content
         and None for all workspaces; the latest last.
     changes : (time, `Crash`) of the changes that this gateway made, oldest first.
-    attributed : (content, server starts attributed to it), in the order of attribution.
-    attributed_until_ms : until when `attributed` is valid if no crash changes.
+    ranks : the order in which ends of servers were attributed to contents.
+    start_ranks : the rank of the content that accounts for it, by server start.
+    attributed_until_ms : until when both are valid; 0 if a crash has changed.
+    attributed_ms : when the ends were last attributed.
     """
 
     def __init__(self, name):
@@ -178,8 +186,10 @@
         self.completions = collections.OrderedDict()
         self.changes = collections.deque(maxlen=MAX_CHANGES)
         self.random = random.Random(name)
-        self.attributed = ()
+        self.ranks = {}
+        self.start_ranks = {}
         self.attributed_until_ms = 0
+        self.attributed_ms = -MIN_ATTRIBUTION_INTERVAL_MS
 
     # Decision.
 
@@ -191,10 +201,10 @@
         evidence = self.by_content.get(content)
         if not evidence:
             return None
-        explained = self.starts_attributed_before(content, now_ms)
+        self.update_attribution(now_ms)
         suspicions = []
         for is_own, group in counted_groups(evidence, workspace, now_ms):
-            alone = {start: group[start] for start in group if start not in explained}
+            alone = self.without_explained(content, group)
             for limit, each in ((MAX_CRASHES, alone), (MAX_SHARED_CRASHES, group)):
                 suspicions.append(
                     self.judge_group(content, each, limit, is_own, now_ms)
@@ -202,20 +212,38 @@
         suspicions = [each for each in suspicions if each is not None]
         return max(suspicions, key=lambda each: each.retry_after_s, default=None)
 
-    def starts_attributed_before(self, content, now_ms):
-        """Return the server starts that are attributed to contents before this one."""
-        if now_ms >= self.attributed_until_ms:
-            self.attributed = self.attribute_starts(now_ms)
-            self.attributed_until_ms = now_ms + ATTRIBUTION_VALIDITY_MS
-        starts = set()
-        for other, attributed in self.attributed:
-            if other == content:
-                break
-            starts |= attributed
-        return starts
+    def without_explained(self, content, group):
+        """Return a group without the starts that contents before it account for."""
+        own_rank = self.ranks.get(content, len(self.ranks))
+        return {
+            start: evidence
+            for start, evidence in group.items()
+            if self.start_ranks.get(start, own_rank) >= own_rank
+        }
 
-    def attribute_starts(self, now_ms):
-        """Return (content, server starts attributed to it), those with most first."""
+    def update_attribution(self, now_ms):
+        """Attribute the ends of servers anew if crashes have changed or lapsed.
+
+        A large table is gone through a few times a second only.
+        """
+        is_large = len(self.by_content) > LARGE_TABLE_CONTENTS
+        if now_ms < self.attributed_until_ms or (
+            is_large and now_ms < self.attributed_ms + MIN_ATTRIBUTION_INTERVAL_MS
+        ):
+            return
+        self.attributed_ms = now_ms
+        self.attributed_until_ms = now_ms + ATTRIBUTION_VALIDITY_MS
+        self.ranks = {}
+        self.start_ranks = {}
+        for rank, (content, starts) in enumerate(attribute(self.candidates(now_ms))):
+            self.ranks[content] = rank
+            self.start_ranks.update(dict.fromkeys(starts, rank))
+
+    def candidates(self, now_ms):
+        """Return the contents that reach the limit, by content.
+
+        Each has its server starts and the mean duration of its runs.
+        """
         candidates = {}
         for content, evidence in self.by_content.items():
             if len(evidence) < MAX_CRASHES:
@@ -227,24 +255,8 @@
             }
             if len(counted) >= MAX_CRASHES:
                 mean_duration_ms = sum(counted.values()) / len(counted)
-                candidates[content] = set(counted), mean_duration_ms
-        attributed = []
-        explained = set()
-        while candidates:
-            content = min(
-                candidates,
-                key=lambda each: (
-                    -len(candidates[each][0] - explained),
-                    candidates[each][1],
-                    each,
-                ),
-            )
-            starts = candidates.pop(content)[0] - explained
-            if len(starts) < MAX_CRASHES:
-                break
-            attributed.append((content, frozenset(starts)))
-            explained |= starts
-        return tuple(attributed)
+                candidates[content] = (set(counted), mean_duration_ms)
+        return candidates
 
     def judge_group(self, content, group, limit, is_own, now_ms):
         """Return the `Suspicion` from `Evidence` by server start, or None.
@@ -386,17 +398,10 @@
         """Return the number of crashes in the table."""
         return self.record_counts.total()
 
-    def held_contents(self, now_ms):
-        """Return the contents that are refused to some callers."""
-        return {
-            content
-            for content, evidence in self.by_content.items()
-            if len(evidence) >= MAX_CRASHES
-            and any(
-                self.judge(content, workspace, now_ms) is not None
-                for workspace in {crash.workspace for crash in evidence}
-            )
-        }
+    def contents_at_limit(self, now_ms):
+        """Return the contents to which the ends of enough servers are attributed."""
+        self.update_attribution(now_ms)
+        return list(self.ranks)
 
     def add(self, crash, evidence, now_ms):
         """Add a crash, or set the flags of a known one; return whether it is new."""
@@ -464,34 +469,34 @@
                 break
             self.discard(run)
         for content, evidence in list(self.by_content.items()):
-            lifetime_ms = self.lifetime_ms(content)
+            is_over = now_ms > self.end_ms(content, 1)
             for crash, each in list(evidence.items()):
-                limit_ms = lifetime_ms if each.is_confirmed else UNCONFIRMED_MS
-                if now_ms - each.ended_ms > limit_ms:
+                if is_over or not counts(each, now_ms):
                     self.remove(crash)
 
-    def lifetime_ms(self, content):
-        """Return how long the confirmed crashes of a content are remembered."""
-        excess = max(0, len(self.by_content[content]) - MAX_CRASHES)
+    def end_ms(self, content, fraction):
+        """Return when a fraction of the time has passed that a content is remembered.
+
+        The time begins with the last crash.
+        """
+        evidence = self.by_content[content]
+        last_ms = max(each.ended_ms for each in evidence.values())
+        excess = max(0, len(evidence) - MAX_CRASHES)
         longest_hold_ms = shortest_hold_ms(excess) * (1 + HOLD_SPREAD_FRACTION)
-        return RETENTION_HOLDS * longest_hold_ms
+        return last_ms + fraction * RETENTION_HOLDS * longest_hold_ms
 
     # Exchange with other gateways.
 
     def shared_records(self, now_ms):
         """Return the (`Crash`, `Evidence`) pairs for the next message to the others."""
-        held_contents = self.held_contents(now_ms)
-        held = [crash for each in held_contents for crash in self.by_content[each]]
-        others = [
-            crash
-            for content in self.draw(list(self.by_content), MAX_OTHERS_SHARED)
-            for crash in self.by_content[content]
-        ]
-        chosen = dict.fromkeys(
-            self.recent_changes(now_ms)
-            + self.draw(held, MAX_HELD_SHARED)
-            + self.draw(others, MAX_OTHERS_SHARED)
-        )
+        chosen = dict.fromkeys(self.recent_changes(now_ms))
+        for contents, count in (
+            (self.contents_at_limit(now_ms), MAX_HELD_SHARED),
+            (list(self.by_content), MAX_OTHERS_SHARED),
+        ):
+            for content in self.draw(contents, count):
+                crashes = self.draw(list(self.by_content[content]), MAX_CRASHES)
+                chosen.update(dict.fromkeys(crashes))
         return [
             (crash, self.by_content[crash.content][crash])
             for crash in chosen
@@ -510,10 +515,9 @@
         evidence = self.by_content.get(crash.content, {}).get(crash)
         if evidence is None:
             return False
-        limit_ms = UNCONFIRMED_MS
-        if evidence.is_confirmed:
-            limit_ms = self.lifetime_ms(crash.content)
-        return now_ms - evidence.ended_ms <= SHARED_FRACTION * limit_ms
+        if not evidence.is_confirmed:
+            return now_ms - evidence.ended_ms <= SHARED_FRACTION * UNCONFIRMED_MS
+        return now_ms <= self.end_ms(crash.content, SHARED_FRACTION)
 
     def draw(self, items, count):
         """Return up to `count` of the items."""
@@ -530,6 +534,31 @@
     return evidence.is_confirmed or now_ms - evidence.ended_ms <= UNCONFIRMED_MS
 
 
+def attribute(candidates):
+    """Yield (content, server starts attributed to it), those with most first.
+
+    `candidates` holds the server starts and the mean duration of the runs by content.
+    What a content alone accounts for only shrinks, so that it is counted anew only for
+    the first of the queue.
+    """
+    queue = [
+        (-len(starts), duration_ms, content)
+        for content, (starts, duration_ms) in candidates.items()
+    ]
+    heapq.heapify(queue)
+    explained = set()
+    while queue:
+        key, duration_ms, content = heapq.heappop(queue)
+        starts = candidates[content][0] - explained
+        if len(starts) < MAX_CRASHES:
+            continue
+        if len(starts) != -key:
+            heapq.heappush(queue, (-len(starts), duration_ms, content))
+            continue
+        yield content, frozenset(starts)
+        explained |= starts
+
+
 def counted_groups(evidence, workspace, now_ms):
     """Yield whether they are a workspace's own, and the crashes that count.
 
--- a/brasstrail/roles/crashes.py
+++ b/brasstrail/roles/crashes.py
@@ -173,5 +173,5 @@
         gauge("gateway_crash_records", self.suspects.record_count)
         gauge(
             "gateway_held_requests",
-            lambda: len(self.suspects.held_contents(clock.now_ms())),
+            lambda: len(self.suspects.contents_at_limit(clock.now_ms())),
         )
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -93,7 +93,7 @@
     counter("gateway_retries", "retries", "Retries asked of the budget.", "outcome"),
     counter("gateway_crashes", "crashes", "Crashes of servers seen here.", "reason"),
     gauge("gateway_crash_records", "crashes", "Crashes of servers that are known."),
-    gauge("gateway_held_requests", "requests", "Request contents that are held back."),
+    gauge("gateway_held_requests", "requests", "Request contents at their limit."),
     gauge("gateway_running", "requests", "Requests under way."),
     gauge("gateway_waiting", "requests", "Requests that wait for a server."),
     gauge("gateway_held_bytes", "bytes", "Bytes of request bodies held in memory."),
