Confirm a crash by a new control host's list, and keep back-offs as they were

A server that fell silent while its gateways' control host was lost was in no news: the next control host's complete list does not have it, and the gateway forgot it without counting the runs that were open there. It is now taken for silent, unless it still answers.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -264,6 +264,9 @@
         if update.complete:
             listed = {record.identity for record in update.records}
             for identity in set(self.directory.known) - listed:
+                known = self.directory.known[identity]
+                if known.phase is servers.ServerPhase.READY:
+                    self.crashes.silence_server(known.announcement)
                 self.directory.remove(identity)
                 self.pool.remove_server(identity)
         self.dispatch_waiting()
--- a/brasstrail/roles/refusals.py
+++ b/brasstrail/roles/refusals.py
@@ -48,9 +48,6 @@
 class ServerBrokeOff(ExecutionUnknown):
     """The connection ended before the whole answer: the server may have ended."""
 
-    def __init__(self, reason):
-        super().__init__(reason, True)
-
 
 class CallerDisconnected(Exception):
     """The caller closed its connection."""
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -170,7 +170,7 @@
                 self.connection.read_head, self.head_silence_timeout_ms()
             )
         except upstream.AnswerIncomplete as error:
-            raise refusals.ServerBrokeOff("broken") from error
+            raise refusals.ServerBrokeOff("broken", True) from error
         self.head = self.gateway.dialect.read_answer(start_line, headers)
         self.check_head()
         if not self.is_success():
@@ -217,7 +217,7 @@
         except upstream.AnswerTooLarge as error:
             raise refusals.ExecutionUnknown("answer_too_large", False) from error
         except upstream.AnswerIncomplete as error:
-            raise refusals.ServerBrokeOff("broken_failure") from error
+            raise refusals.ServerBrokeOff("broken_failure", False) from error
         self.gateway.pool.failed(self.choice.identity, clock.now_ms(), False)
         self.request.reasons.append(f"server_{head.status}")
         if not head.is_signed or head.status in REFUSAL_STATUSES:
@@ -232,9 +232,9 @@
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
         except upstream.AnswerTooLarge as error:
-            raise refusals.ExecutionUnknown("answer_too_large", False) from error
+            raise refusals.ExecutionUnknown("answer_too_large", True) from error
         except upstream.AnswerIncomplete as error:
-            raise refusals.ServerBrokeOff("broken_body") from error
+            raise refusals.ServerBrokeOff("broken_body", True) from error
         self.reply.send_complete(self.head, body)
 
     async def relay_stream(self):
@@ -249,7 +249,7 @@
                     break
                 await self.reply.relay_events(self.head, chunk)
         except upstream.AnswerIncomplete as error:
-            raise refusals.ServerBrokeOff("broken_stream") from error
+            raise refusals.ServerBrokeOff("broken_stream", True) from error
         await self.reply.end_stream(self.head)
 
     # Silence time-outs and time per token.
--- a/brasstrail/roles/suspects_test.py
+++ b/brasstrail/roles/suspects_test.py
@@ -6,6 +6,7 @@
 import brasstrail.platform  # noqa: F401
 from brasstrail.core import clock
 from brasstrail.fakes import memory
+from brasstrail.protocol import messages
 from brasstrail.roles import crashes
 
 # The users' bound: servers that a request may end before it is refused.
@@ -209,6 +210,16 @@
             self.restart_servers()
         self.assertEqual(server_count, MAX_SERVERS_ENDED)
 
+    async def test_silent_server_is_missing_in_the_list_of_a_new_control_host(self):
+        """Guards against a crash that no news confirms: the control host was lost."""
+        await self.platform.call("g0", "/unsafe/x?end=silent", **SHORT_DEADLINE)
+        gateway = self.platform.gateways["g0"]
+        self.assertEqual(gateway.crashes.suspects.record_count(), 0)
+        gateway.apply_directory(messages.Directory(True, ()))
+        ((crash, evidence),) = gateway.crashes.suspects.all_records()
+        self.assertTrue(evidence.is_confirmed)
+        self.assertEqual(crash.server, "s-0")
+
 
 class AnswerTest(PlatformCase):
     """What the caller of a request that is held back gets, and what the log says."""
