Do not share contents that have just left the table

While a table of more than 400 contents is gone through only now and then, the list of contents at the limit could name one that had been removed, and putting together the next message to other gateways ended in a KeyError: that datagram, with its load shares, was lost.

suspects_test fails without the change.

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -401,7 +401,7 @@
     def contents_at_limit(self, now_ms):
         """Return the contents to which the ends of enough servers are attributed."""
         self.update_attribution(now_ms)
-        return list(self.ranks)
+        return [content for content in self.ranks if content in self.by_content]
 
     def add(self, crash, evidence, now_ms):
         """Add a crash, or set the flags of a known one; return whether it is new."""
--- a/brasstrail/coordination/suspects_test.py
+++ b/brasstrail/coordination/suspects_test.py
@@ -307,6 +307,18 @@
             self.gateway.crash(f"c{number}", 10, is_confirmed=False)
         self.assertTrue(self.gateway.is_held("fatal", 20))
 
+    def test_large_table_is_shared_while_its_attribution_is_old(self):
+        """Guards against an error for a content that was removed a moment ago."""
+        table = self.gateway.suspects
+        for number in range(suspects.LARGE_TABLE_CONTENTS + 1):
+            self.gateway.crash(f"c{number}", 0)
+        self.crash_often("fatal")
+        self.assertEqual(table.contents_at_limit(1000), ["fatal"])
+        for crash in list(table.by_content["fatal"]):
+            table.remove(crash)
+        self.assertEqual(table.contents_at_limit(1001), [])
+        self.assertTrue(table.shared_records(1001))
+
     def test_given_up_runs_are_bounded(self):
         table = self.gateway.suspects
         kept = self.gateway.begin("c", 0, "victim")
