Record all log lines of the gateways in memory

With the same configuration the test alone fails in the same way (0 lines), and passes with this change. The test's checks are unchanged.

--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import itertools
+import logging
 import types
 import urllib.parse
 
@@ -301,7 +302,13 @@
         options = settings.Settings(
             node, settings.Cluster("c", "a-secret-of-16-letters", ("127.0.0.1:1",))
         )
-        log = structlog.wrap_logger(None, processors=[self.record_line])
+        # Without a class of its own the logger would drop what another test's
+        # configuration of structlog filters out.
+        log = structlog.wrap_logger(
+            None,
+            processors=[self.record_line],
+            wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG),
+        )
         gateway_hub = hub.Hub(options, next(self.incarnations), log)
         created = gateway.Gateway(gateway_hub, metrics.Metrics())
         created.connections = ServerConnections(self)
