Log how answers of servers were framed and how they ended

The line of a request's end now has the framing of each server's answer, how its connection ended, and how the caller's answer ended. The decisions are the same: Answer.is_whole is true where whole was, also for an answer beyond the size limit, which the parser does not finish.

--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -66,6 +66,8 @@
         self.attempt_id = ""
         self.chunks = asyncio.Queue()
         self.runner = None
+        self.framing = None
+        self.end = None
         server.connections.add(self)
 
     def send(self, method, target, headers, body):
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -57,6 +57,8 @@
     tried : the identities of the servers that were chosen, which are not chosen again.
     servers : the identities of the servers to which the request was sent, in order.
     reasons : the reason codes of failed attempts, for the log.
+    framings, server_ends : how the answer of each of `servers` was framed and how it
+        ended, for the log. An answer that was not read to its end is "unread".
     """
 
     def __init__(self, gateway, connection):
@@ -74,6 +76,8 @@
         self.tried = set()
         self.servers = []
         self.reasons = []
+        self.framings = []
+        self.server_ends = []
 
     @property
     def identity(self):
@@ -399,6 +403,9 @@
             **self.admission_fields(),
             servers=",".join(self.servers),
             reasons=",".join(self.reasons),
+            framings=",".join(self.framings),
+            server_ends=",".join(self.server_ends),
+            caller_end=self.reply.end,
             waited_ms=self.waited_ms,
             first_ms=self.time_to_first_event_ms(),
             longest_pause_ms=self.reply.longest_pause_ms,
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -1,6 +1,7 @@
 """Contract tests of the gateway on real sockets with scripted servers."""
 
 import asyncio
+import logging
 import unittest
 
 import orjson
@@ -69,7 +70,14 @@
 
     async def asyncSetUp(self):
         self.settings = make_settings()
-        log = structlog.wrap_logger(None, processors=[drop_log_line])
+        self.lines = []
+        # Without a class of its own the logger would drop what another test's
+        # configuration of structlog filters out.
+        log = structlog.wrap_logger(
+            None,
+            processors=[self.record_line],
+            wrapper_class=structlog.make_filtering_bound_logger(logging.DEBUG),
+        )
         self.hub = hub.Hub(self.settings, 1, log)
         self.gateway = gateway.Gateway(self.hub, metrics.Metrics())
         await self.gateway.start()
@@ -78,6 +86,11 @@
         self.renew_lease()
         self.put_document(DOCUMENT)
 
+    def record_line(self, logger, method, event):
+        """Record a log entry instead of writing it."""
+        self.lines.append(event)
+        raise structlog.DropEvent
+
     def renew_lease(self):
         self.gateway.lease.renewed_ms = clock.boot_ms()
 
@@ -103,14 +116,30 @@
         )
         self.gateway.apply_directory(messages.Directory(False, (record,)))
 
+    def last_request_line(self):
+        """Return the log entry of the request that ended last."""
+        return [
+            line
+            for line in self.lines
+            if line["event"] == "forwarding: A request ended."
+        ][-1]
+
+    def remove_servers(self):
+        for identity in list(self.gateway.pool.servers):
+            self.gateway.pool.remove_server(identity)
+        self.gateway.directory.known.clear()
+        self.gateway.directory.by_address.clear()
+
     async def connect(self):
         host, _, port = self.settings.gateway.http_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         self.addCleanup(writer.close)
         return reader, writer
 
-    def write_request(self, writer, route, key="k", body=b"", **named):
-        lines = [f"POST /{route}/x?y HTTP/1.1", "Host: h", "X-Attempt-Id: 42"]
+    def write_request(
+        self, writer, route, key="k", body=b"", protocol="HTTP/1.1", **named
+    ):
+        lines = [f"POST /{route}/x?y {protocol}", "Host: h", "X-Attempt-Id: 42"]
         if key:
             lines.append(f"Authorization: Token {key}")
         lines.append(f"Content-Length: {len(body)}")
@@ -126,11 +155,6 @@
         return await asyncio.wait_for(read_answer(reader), 20)
 
 
-def drop_log_line(logger, method, event):
-    """Drop the log entry."""
-    raise structlog.DropEvent
-
-
 async def read_answer(reader):
     """Return status, headers and body; body is None if it is incomplete."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -262,6 +286,23 @@
         self.assertEqual((status, body), (500, b"own words"))
         self.assertEqual(headers["x-server-signature"], "s")
 
+    async def test_log_tells_how_both_answers_were_framed_and_ended(self):
+        cases = (
+            (scripted.reply(), "length", "whole"),
+            (scripted.reply_without_length(b"x", False), "connection", "closed"),
+            (scripted.reply_without_length(b"x", True), "connection", "reset"),
+            (scripted.send_and_close(), "none", "closed"),
+        )
+        for step, framing, server_end in cases:
+            with self.subTest(framing=framing, server_end=server_end):
+                await self.serve([step])
+                await self.call("unsafe")
+                line = self.last_request_line()
+                self.assertEqual(line["framings"], framing)
+                self.assertEqual(line["server_ends"], server_end)
+                self.assertEqual(line["caller_end"], "complete")
+                self.remove_servers()
+
     async def test_answer_without_length_ends_with_its_connection(self):
         await self.serve([scripted.reply_without_length(b"to the end", is_reset=False)])
         status, _, body = await self.call("unsafe")
@@ -327,12 +368,6 @@
         self.announce("i0", server.address, sequence=2)
         self.assertEqual(list(self.gateway.pool.servers), ["i9"])
 
-    def remove_servers(self):
-        for identity in list(self.gateway.pool.servers):
-            self.gateway.pool.remove_server(identity)
-        self.gateway.directory.known.clear()
-        self.gateway.directory.by_address.clear()
-
 
 async def wait_until(condition):
     """Wait up to about 5 s until a condition holds."""
@@ -461,6 +496,11 @@
         status, _, body = await self.call("stream")
         self.assertEqual((status, body), (200, None))
         self.assertEqual(second.requests, [])
+        line = self.last_request_line()
+        self.assertEqual(
+            (line["framings"], line["server_ends"], line["caller_end"]),
+            ("chunks", "closed", "cut"),
+        )
 
     async def test_silent_stream_is_kept_when_it_cannot_fail_over(self):
         pause_s = sending.STREAM_SILENCE_TIMEOUT_MS / 1000 + 0.3
--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -24,6 +24,8 @@
     ----------
     head_sent : whether the head of the answer was sent.
     event_cutter : splits a stream into events; None before a stream starts.
+    end : how the answer to the caller ended, for the log: "complete", "cut" if its
+        connection was closed within it, or "none" if there is no end yet.
     first_ms : when the first event, or the complete answer, was available; None
         before that.
     """
@@ -32,6 +34,7 @@
         self.gateway = gateway
         self.connection = connection
         self.head_sent = False
+        self.end = "none"
         self.status = 0
         self.event_cutter = None
         self.first_ms = None
@@ -49,7 +52,7 @@
         headers = copy_headers(head)
         headers["Content-Length"] = str(len(body))
         self.write_head(head.status, head.reason, headers, body)
-        self.connection.finish()
+        self.finish()
 
     def send_refusal(self, refusal, call, ran):
         """Send an answer that the gateway creates itself.
@@ -71,7 +74,7 @@
         headers["Content-Length"] = str(len(body))
         reason = httputil.responses.get(refusal.status, "Failed")
         self.write_head(refusal.status, reason, headers, body)
-        self.connection.finish()
+        self.finish()
 
     def write_head(self, status, reason, headers, chunk=None):
         """Write the head of an answer."""
@@ -107,7 +110,7 @@
         self.write_stream_head(head)
         if self.event_cutter.partial:
             await self.connection.write(self.event_cutter.partial)
-        self.connection.finish()
+        self.finish()
 
     def write_stream_head(self, head):
         """Write the head of a stream once; the stream has no known length."""
@@ -124,8 +127,14 @@
             self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
         self.last_event_ms = now_ms
 
+    def finish(self):
+        """Complete the answer."""
+        self.end = "complete"
+        self.connection.finish()
+
     def abort(self):
         """Close the connection because the answer cannot be completed."""
+        self.end = "cut"
         self.connection.close()
 
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -85,6 +85,7 @@
             raise
         finally:
             self.end_tracking()
+            self.record_end()
             held_ms = clock.now_ms() - started_ms
             self.gateway.pool.record_service_time(self.work.service, held_ms)
             self.gateway.release(self.choice.identity, self.work)
@@ -98,6 +99,13 @@
         if self.tracked_run is not None:
             self.gateway.crashes.leave(self.tracked_run)
 
+    def record_end(self):
+        """Record for the log how the server's answer was framed and how it ended."""
+        if self.connection is None or self.tracked_run is None:
+            return
+        self.request.framings.append(self.connection.framing or "none")
+        self.request.server_ends.append(self.connection.end or "unread")
+
     def release_connection(self, is_complete):
         """Return the connection to the pool for reuse, or close it."""
         if self.connection is None:
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import contextlib
+import enum
 import socket
 
 from tornado import http1connection, httputil, iostream, tcpclient
@@ -30,6 +32,30 @@
 MIN_IDLE_TIMEOUT_S = 0.3
 
 
+# Answers with one of these statuses never have a body.
+BODILESS_STATUSES = (204, 304)
+
+
+class Framing(enum.StrEnum):
+    """What determines the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
+class AnswerEnd(enum.StrEnum):
+    """How the reception of an answer ended.
+
+    `WHOLE` means that its length or its last chunk was reached. Before that, the
+    connection was closed in order or failed, for example by a reset.
+    """
+
+    WHOLE = "whole"
+    CLOSED = "closed"
+    RESET = "reset"
+
+
 class ConnectFailed(Exception):
     """The connection failed before any byte of the request was sent."""
 
@@ -48,22 +74,31 @@
     Attributes
     ----------
     head : a future of the start line and the headers.
-    has_length : whether its framing (a length or chunks) determines its end.
+    framing : `Framing` of the body, or None before the head.
     chunks : a queue of the received parts of the body; None follows the last one.
-    whole : whether it was received completely.
+    is_parsed : whether the parser has reached the end of the body.
+    end : `AnswerEnd`, or None while the answer is being received.
     """
 
     def __init__(self):
         self.head = asyncio.get_running_loop().create_future()
-        self.has_length = True
+        self.framing = None
         self.chunks = asyncio.Queue(MAX_BUFFERED_CHUNKS)
-        self.whole = False
+        self.is_parsed = False
+        self.end = None
+
+    @property
+    def is_whole(self):
+        """Whether the answer was received completely, as far as its framing tells."""
+        ended_in_order = self.is_parsed and self.end is AnswerEnd.CLOSED
+        return self.end is AnswerEnd.WHOLE or (
+            self.framing is Framing.CONNECTION and ended_in_order
+        )
 
     def headers_received(self, start_line, headers):
         """Store the head; interim answers are ignored."""
         if start_line.code >= 200 and not self.head.done():
-            is_chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
-            self.has_length = is_chunked or "Content-Length" in headers
+            self.framing = find_framing(start_line.code, headers)
             self.head.set_result((start_line, headers))
 
     def data_received(self, chunk):
@@ -71,13 +106,22 @@
         return self.chunks.put(chunk)
 
     def finish(self):
-        """Record that the answer is complete according to its framing."""
-        self.whole = True
+        """Record that the parser has reached the end of the body."""
+        self.is_parsed = True
 
     def on_connection_close(self):
         """Do nothing; `Upstream.read_answer` reports that the connection ended."""
 
 
+def find_framing(status, headers):
+    """Return the `Framing` of an answer's body."""
+    if "chunked" in headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    if "Content-Length" in headers or status in BODILESS_STATUSES:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 class Upstream:
     """A connection to a backend server.
 
@@ -124,16 +168,12 @@
         )
 
     async def read_answer(self, connection, answer):
-        """Read one answer to its end and record whether it is complete."""
-        try:
+        """Read one answer to its end and record how it ended."""
+        with contextlib.suppress(
+            iostream.StreamClosedError, iostream.UnsatisfiableReadError
+        ):
             await connection.read_response(answer)
-        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
-            answer.whole = False
-        # The end of the connection ends a body without a length, but a reset means
-        # that the body is incomplete. An answer that is complete according to its
-        # framing stays complete even if the connection fails afterwards.
-        if self.stream.error is not None and not answer.has_length:
-            answer.whole = False
+        answer.end = self.find_end(answer)
         if not answer.head.done():
             answer.head.set_exception(
                 AnswerIncomplete("The connection ended before the answer's head.")
@@ -141,6 +181,18 @@
             answer.head.exception()
         await answer.chunks.put(None)
 
+    def find_end(self, answer):
+        """Return the `AnswerEnd` of an answer whose reception has ended.
+
+        An answer that is whole according to its length or chunks stays so if the
+        connection fails afterwards. For the parser, a body that is framed by its
+        connection ends with the connection, however that ended.
+        """
+        is_framed = answer.framing in (Framing.LENGTH, Framing.CHUNKS)
+        if answer.is_parsed and is_framed:
+            return AnswerEnd.WHOLE
+        return AnswerEnd.CLOSED if self.stream.error is None else AnswerEnd.RESET
+
     async def read_head(self):
         """Return the start line and the headers of the answer."""
         return await asyncio.shield(self.answer.head)
@@ -151,7 +203,7 @@
         Raises `AnswerIncomplete` if the answer ended before it was complete.
         """
         chunk = await self.answer.chunks.get()
-        if chunk is None and not self.answer.whole:
+        if chunk is None and not self.answer.is_whole:
             raise AnswerIncomplete("The connection ended within the answer's body.")
         return chunk
 
@@ -178,14 +230,9 @@
         or if the remaining idle time is too short. `keep_alive_timeout_s` is how
         long the server keeps an idle connection, or None if it is not known.
         """
-        finished = self.read_task is not None and self.answer.whole
-        written = self.write_future is not None and self.write_future.done()
-        if not (
-            finished
-            and written
-            and self.answer.has_length
-            and self.is_open_and_drained()
-        ):
+        is_whole = self.answer is not None and self.answer.end is AnswerEnd.WHOLE
+        is_written = self.write_future is not None and self.write_future.done()
+        if not (is_whole and is_written and self.is_open_and_drained()):
             return False
         idle_timeout_s = (
             DEFAULT_IDLE_TIMEOUT_S
@@ -208,6 +255,16 @@
         """Return whether an idle connection can be used for another request."""
         return self.is_open_and_drained() and clock.now_ms() < self.idle_until_ms
 
+    @property
+    def framing(self):
+        """The `Framing` of the answer to the last request, or None before its head."""
+        return self.answer.framing if self.answer else None
+
+    @property
+    def end(self):
+        """The `AnswerEnd` of that answer, or None while it is being received."""
+        return self.answer.end if self.answer else None
+
     def close(self):
         """Close the connection; the server then stops work on an unfinished request."""
         if self.read_task is not None:
