Move the resets of connections to the transport layer

The gateway will reset connections of callers too, so that the function of the fakes belongs into a package that both may use. No behaviour changes.

--- a/brasstrail/fakes/answers.py
+++ b/brasstrail/fakes/answers.py
@@ -7,7 +7,7 @@
 
 import random
 
-from brasstrail.fakes import sockets
+from brasstrail.transport import sockets
 
 FRAMINGS = ("length", "chunks", "connection")
 
--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -26,7 +26,8 @@
 import orjson
 from tornado import httpclient, httpserver, iostream, web
 
-from brasstrail.fakes import answers, sockets
+from brasstrail.fakes import answers
+from brasstrail.transport import sockets
 
 ANNOUNCE_INTERVAL_S = 0.4
 ANNOUNCE_TIMEOUT_S = 1.0
--- a/brasstrail/fakes/scripted.py
+++ b/brasstrail/fakes/scripted.py
@@ -8,7 +8,7 @@
 import asyncio
 import dataclasses
 
-from brasstrail.fakes import sockets
+from brasstrail.transport import sockets
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/roles/framing_test.py
+++ b/brasstrail/roles/framing_test.py
@@ -4,8 +4,9 @@
 import itertools
 import unittest
 
-from brasstrail.fakes import scripted, sockets
+from brasstrail.fakes import scripted
 from brasstrail.roles import gateway_test
+from brasstrail.transport import sockets
 
 CHUNK_BYTES = 65536
 TIMEOUT_S = 10
--- a/brasstrail/tools/relay.py
+++ b/brasstrail/tools/relay.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 
-from brasstrail.fakes import sockets
+from brasstrail.transport import sockets
 
 READ_BYTES = 65536
 
--- a/brasstrail/tools/relay_test.py
+++ b/brasstrail/tools/relay_test.py
@@ -3,8 +3,8 @@
 import asyncio
 import unittest
 
-from brasstrail.fakes import sockets
 from brasstrail.tools import ports, relay
+from brasstrail.transport import sockets
 
 SENT = b"part of an answer"
 
--- a/brasstrail/fakes/sockets.py
+++ b/brasstrail/transport/sockets.py
@@ -1,4 +1,4 @@
-"""Resets of TCP connections, for fakes and faults."""
+"""Resets of TCP connections."""
 
 import socket
 import struct
