--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -1,7 +1,7 @@
 """Writes the answer to one caller: complete, streamed, or created by the gateway.
 
-A `Reply` keeps track of what was already sent. If an answer cannot be completed, the
-connection is closed, so that the caller does not take the answer for complete.
+A `Reply` keeps track of what was already sent. An answer that cannot be completed is
+cut, so that the caller does not take it for complete.
 """
 
 import orjson
@@ -92,7 +92,7 @@
         if self.event_cutter is None:
             self.event_cutter = events.EventCutter(last_id)
         else:
-            self.event_cutter.drop_partial_event()
+            self.event_cutter.begin_run()
 
     async def relay_events(self, head, chunk):
         """Send the events that `chunk` completes."""
@@ -106,7 +106,7 @@
         await self.connection.write(complete_events)
 
     async def end_stream(self, head):
-        """End a stream, including a partial event that the server sent last."""
+        """End a stream, including what followed its last event."""
         self.write_stream_head(head)
         if self.event_cutter.partial:
             await self.connection.write(self.event_cutter.partial)
@@ -133,7 +133,7 @@
         self.connection.finish()
 
     def abort(self):
-        """Close the connection because the answer cannot be completed."""
+        """Cut the answer because it cannot be completed."""
         self.end = "cut"
         self.connection.close()
 
