Do not deliver a stream that ended within an event as complete

An answer with neither a length nor chunks was complete wherever its connection ended without a reset; the partial event was passed on and the caller's answer was ended as whole, also where the stream could have gone on at another server.

Evidence: only streams of this framing that ended in order, at each of 14 positions in and before an event (framing_test); those in chunks, with a length or reset were cut.

A stream that ends within an event is now broken off, whatever its framing says, and so is one that only its connection frames and that has no event though one is due. It goes the way of any broken answer: it goes on at another server where it may, else the caller's answer is cut; the pool, the retry budget and the table of crashes see the same (test_what_follows_is_the_same_for_each_way_of_breaking_off). An answer on a stream's route that states another type is relayed as a plain answer, since it has no events.

--- a/brasstrail/core/calls.py
+++ b/brasstrail/core/calls.py
@@ -85,6 +85,7 @@
     has a content encoding, and `closes_connection` that the server closes the
     connection after it. `keep_alive_timeout_s` is how long the server keeps an
     idle connection, or None. `load` is the load report in the answer, or None.
+    `content_type` is empty if it is not stated.
     """
 
     status: int
@@ -98,3 +99,4 @@
     closes_connection: bool = False
     keep_alive_timeout_s: float | None = None
     load: servers.LoadReport | None = None
+    content_type: str = ""
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -232,6 +232,7 @@
         "close" in connection,
         parse_keep_alive_timeout_s(headers.get("Keep-Alive")),
         parse_load_report(headers.get(LOAD_HEADER)),
+        headers.get("Content-Type", ""),
     )
 
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from brasstrail.core import calls, catalog, clock
+from brasstrail.protocol import events
 from brasstrail.roles import refusals
 from brasstrail.transport import upstream
 
@@ -234,9 +235,11 @@
 
     async def relay_success(self):
         """Relay a successful answer to the caller."""
-        if self.route.kind is catalog.RouteKind.STREAM:
+        if self.is_event_stream():
             await self.relay_stream()
             return
+        if self.reply.head_sent:
+            raise refusals.ExecutionUnknown("no_event_stream", True)
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
         except upstream.AnswerTooLarge as error:
@@ -245,6 +248,15 @@
             raise refusals.ServerBrokeOff("broken_body", True) from error
         self.reply.send_complete(self.head, body)
 
+    def is_event_stream(self):
+        """Return whether a successful answer is an event stream.
+
+        An answer on a stream's route that does not state its type is taken for one.
+        """
+        content_type = self.head.content_type or events.MEDIA_TYPE
+        is_stream_route = self.route.kind is catalog.RouteKind.STREAM
+        return is_stream_route and events.is_event_stream(content_type)
+
     async def relay_stream(self):
         """Relay a stream as it arrives; if it breaks, another server may resume it."""
         self.reply.begin_stream(self.request.call.resume_after)
@@ -258,8 +270,20 @@
                 await self.reply.relay_events(self.head, chunk)
         except upstream.AnswerIncomplete as error:
             raise refusals.ServerBrokeOff("broken_stream", True) from error
+        self.check_stream_end()
         await self.reply.end_stream(self.head)
 
+    def check_stream_end(self):
+        """Raise if a stream that has ended in order was broken off.
+
+        A stream that ends within an event was broken off, whatever its framing says.
+        So was one that only its connection frames, if it has no event and one is due.
+        """
+        cutter = self.reply.event_cutter
+        is_framed = self.connection.framing is not upstream.Framing.CONNECTION
+        if cutter.is_inside_event or (cutter.expects_event and not is_framed):
+            raise refusals.ServerBrokeOff("stream_cut_short", True)
+
     # Silence time-outs and time per token.
 
     async def read_with_silence_timeout(self, read, timeout_ms):
