Reset the connection of an HTTP/1.0 caller whose answer is cut

A caller of HTTP/1.0 receives a stream without chunks, so that its connection ends the answer. Gateways closed it in order when a stream broke, and the caller took what it had for complete, for each framing of the server's answer. With keep-alive a whole stream never ended for it, since the connection was kept.

transport/callers knows by the caller's version how an answer of unknown length ends: the connection is closed after it, and reset within it. Gateways and entries use it.

The entries' use was read, not run with HTTP/1.0.

--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -259,6 +259,7 @@
         self.is_finished = False
         self.is_closed = False
         self.stream = types.SimpleNamespace(closed=lambda: self.is_closed)
+        self._request_start_line = httputil.RequestStartLine("POST", "/", "HTTP/1.1")
 
     def write_headers(self, start_line, headers, chunk=None):
         """Store the head of the answer."""
--- a/brasstrail/roles/api.py
+++ b/brasstrail/roles/api.py
@@ -20,6 +20,7 @@
 from brasstrail.protocol import chat
 from brasstrail.roles import access, backend, exchange, inspection, once, sinks
 from brasstrail.roles import web as roles_web
+from brasstrail.transport import callers
 
 CLASS_HEADER = "Brasstrail-Class"
 WORKSPACE_HEADER = "Brasstrail-Workspace"
@@ -165,7 +166,7 @@
         if self.get_header("Content-Type") == sinks.EVENT_STREAM:
             self.write(chat.event(orjson.dumps(error.to_json())))
             self.flush()
-        self.request.connection.stream.close()
+        callers.cut_answer(self.request.connection)
 
     def get_header(self, name):
         """Return a response header, or an empty string."""
--- a/brasstrail/roles/framing_test.py
+++ b/brasstrail/roles/framing_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import re
 import unittest
 
 from brasstrail.fakes import scripted
@@ -50,14 +51,17 @@
         """
         reader, writer = await self.connect()
         self.write_request(writer, route, protocol="HTTP/1.0", **options)
-        received = b""
+        body = b""
         try:
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), TIMEOUT_S)
+            status = int(head.split()[1])
+            if match := re.search(rb"Content-Length: (\d+)", head):
+                return status, await reader.readexactly(int(match[1]))
             while part := await asyncio.wait_for(reader.read(CHUNK_BYTES), TIMEOUT_S):
-                received += part
+                body += part
         except ConnectionResetError:
             return 0, None
-        head, _, body = received.partition(b"\r\n\r\n")
-        return int(head.split()[1]), body
+        return status, body
 
     def assert_not_complete(self, status, body):
         """Assert that the caller has a failure, or an answer that is cut."""
--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -10,6 +10,7 @@
 from brasstrail.core import clock
 from brasstrail.protocol import events
 from brasstrail.roles import refusals
+from brasstrail.transport import callers
 
 
 class Reply:
@@ -115,6 +116,7 @@
     def write_stream_head(self, head):
         """Write the head of a stream once; the stream has no known length."""
         if not self.head_sent:
+            callers.begin_answer(self.connection)
             self.write_head(head.status, head.reason, copy_headers(head))
 
     def record_event_time(self):
@@ -135,7 +137,7 @@
     def abort(self):
         """Cut the answer because it cannot be completed."""
         self.end = "cut"
-        self.connection.close()
+        callers.cut_answer(self.connection)
 
 
 def copy_headers(head):
--- a/brasstrail/roles/sinks.py
+++ b/brasstrail/roles/sinks.py
@@ -1,9 +1,10 @@
 """Sinks, which write answers to callers: as event stream, buffered or unchanged."""
 
-from brasstrail.protocol import chat
+from brasstrail.protocol import chat, events
 from brasstrail.roles import backend, exchange, web
+from brasstrail.transport import callers
 
-EVENT_STREAM = "text/event-stream"
+EVENT_STREAM = events.MEDIA_TYPE
 REQUEST_HEADER = "Brasstrail-Request"
 
 
@@ -25,6 +26,7 @@
         if not self.response_started and not self.engine_refused:
             self.handler.set_header("Content-Type", EVENT_STREAM)
             self.handler.set_header("Cache-Control", "no-cache")
+            callers.begin_answer(self.handler.request.connection)
         self.response_started = True
         self.handler.write(payload)
         await self.handler.flush()
@@ -73,6 +75,7 @@
         self.response_started = True
         self.handler.clear()
         self.handler.set_status(status)
+        callers.begin_answer(self.handler.request.connection)
         written_names = set()
         for name, value in backend.parse_header_lines(headers):
             write_header = (
