Treat a plain service's stream that ended within an event as failed

The agents' path had the same class of fault as the gateways': an event stream of a plain service that was framed by its connection and ended within an event, in order, was reported as done, recorded for its key, and delivered as complete. Streams of model engines are not concerned, since they are whole only with their end marker; resets and answers with a length or chunks are told apart by libcurl (plainrun_test).

A run now follows the events of such a stream and counts one that ends within an event as a call that failed: a fault, a suspicion, and doubt about the outcome of a key.

--- a/brasstrail/roles/plainrun.py
+++ b/brasstrail/roles/plainrun.py
@@ -2,9 +2,11 @@
 
 import dataclasses
 
+from tornado import httputil
+
 from brasstrail.core import clock, data, errors
-from brasstrail.protocol import commands, messages
-from brasstrail.roles import runs
+from brasstrail.protocol import commands, events, messages
+from brasstrail.roles import backend, runs
 
 FIRST_COMMIT_TIMEOUT_S = 2.0
 BACKGROUND_COMMIT_TIMEOUT_S = 120.0
@@ -13,7 +15,14 @@
 
 @runs.register_run_class(data.ServiceKind.PLAIN)
 class PlainRun(runs.Run):
-    """A request to a plain service, forwarded unchanged."""
+    """A request to a plain service, forwarded unchanged.
+
+    `cutter` is the `events.EventCutter` that follows an answer that is an event stream.
+    """
+
+    def __init__(self, agent, link, start):
+        super().__init__(agent, link, start)
+        self.cutter = None
 
     async def execute(self):
         """Run the request; return the fault that ended it, or None."""
@@ -35,7 +44,7 @@
         """Forward the server's answer to the entry as it arrives."""
         head_sent = False
         while True:
-            chunk = await self.call.read(self.silence_timeout_s())
+            chunk = await self.read()
             if self.aborted:
                 raise runs.Aborted()
             if self.call.failure is not None:
@@ -50,6 +59,28 @@
         self.send(messages.Done(self.dispatch_id, 0, 0, 0))
         return None
 
+    async def read(self):
+        """Return the next bytes of the answer, or none at its end.
+
+        An event stream that ends within an event was broken off, and counts as a call
+        that failed.
+        """
+        chunk = await self.call.read(self.silence_timeout_s())
+        if self.cutter is None and self.is_event_stream():
+            self.cutter = events.EventCutter()
+        if self.cutter is not None:
+            self.cutter.feed(chunk)
+            if not chunk and self.cutter.is_inside_event and not self.call.failure:
+                self.call.failure = backend.Failure("its stream was cut short", True)
+        return chunk
+
+    def is_event_stream(self):
+        """Return whether the server answers with an event stream."""
+        headers = httputil.HTTPHeaders()
+        for name, value in backend.parse_header_lines(self.call.headers):
+            headers.add(name, value)
+        return events.is_event_stream(headers.get("Content-Type", ""))
+
     def send_head(self):
         """Send the status and the headers to the entry."""
         self.send(messages.Head(self.dispatch_id, self.call.status, self.call.headers))
@@ -62,7 +93,7 @@
         """
         body = b""
         while True:
-            chunk = await self.call.read(self.silence_timeout_s())
+            chunk = await self.read()
             body += chunk
             if self.call.failure is not None:
                 return await self.record_failure()
@@ -91,7 +122,7 @@
         while body:
             await self.wait_for_window()
             self.send_part(body)
-            body = await self.call.read(self.silence_timeout_s())
+            body = await self.read()
         if self.call.failure is not None:
             return self.make_fault(self.call.failure.reason, data.RunStatus.RAN)
         self.send(messages.Done(self.dispatch_id, 0, 0, 0))
