Log the software versions of servers, and which requests take a stream up

Announcements carry the version through control hosts to the gateways; the lines about servers, choices, failed attempts and requests have it, and a request's line has the attempt that began its stream. No decision uses them yet.

A version is that of a start. One that is passed on without it, as by a control host of an earlier build, keeps what its start has stated (directory_test). A version that is no text is a malformed announcement; a missing one is not, since such servers are in use.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -61,7 +61,8 @@
         if held is not None and announcement.sort_key < held.announcement.sort_key:
             return False
         if held is not None and announcement.sort_key == held.announcement.sort_key:
-            if announcement.phase is held.phase:
+            adds_version = announcement.version and not held.announcement.version
+            if announcement.phase is held.phase and not adds_version:
                 return self.refresh_last_seen(held, seen_ms)
         if self.is_start_ended(held, announcement):
             return False
@@ -72,6 +73,8 @@
                 )
                 self.known[announcement.identity] = KnownServer(ended, seen_ms)
             return False
+        if held is not None:
+            announcement = with_known_version(announcement, held.announcement)
         self.store(announcement, seen_ms)
         return held is None or has_changed(held.announcement, announcement)
 
@@ -190,6 +193,17 @@
         ]
 
 
+def with_known_version(announcement, held):
+    """Return an announcement with the version that its start has stated before.
+
+    A control host of an earlier build passes announcements on without the version.
+    """
+    is_same_start = announcement.born_ms == held.born_ms
+    if announcement.version or not is_same_start:
+        return announcement
+    return dataclasses.replace(announcement, version=held.version)
+
+
 def has_changed(old, new):
     """Return whether a later announcement reports a change of the server.
 
--- a/brasstrail/coordination/directory_test.py
+++ b/brasstrail/coordination/directory_test.py
@@ -88,6 +88,19 @@
         )
         self.assertIs(self.phase(), READY)
 
+    def test_version_of_a_start_is_kept_when_it_is_passed_on_without_it(self):
+        """A control host of an earlier build does not know the field."""
+        for first, second in (("v1", ""), ("", "v1")):
+            for sequence in (1, 2):
+                state = directory.Directory(1000)
+                stated = announce(born_ms=1)
+                state.record_announcement(dataclasses.replace(stated, version=first), 0)
+                later = dataclasses.replace(stated, version=second, sequence=sequence)
+                state.record_announcement(later, 1)
+                self.assertEqual(state.known["a"].announcement.version, "v1")
+        state.record_announcement(announce(born_ms=2), 2)
+        self.assertEqual(state.known["a"].announcement.version, "")
+
     def test_expired_server_may_be_announced_again(self):
         self.directory.record_announcement(announce(), 0)
         self.directory.remove_expired(directory.RETENTION_MS + 1)
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -205,6 +205,11 @@
         server = self.servers.get(identity)
         return server.announcement.born_ms if server else 0
 
+    def version(self, identity):
+        """Return the software version of a server, or "" if it is not known."""
+        server = self.servers.get(identity)
+        return server.announcement.version if server else ""
+
     def record_heard(self, identity, now_ms):
         """Record that something was received from a server."""
         server = self.servers.get(identity)
--- a/brasstrail/core/calls.py
+++ b/brasstrail/core/calls.py
@@ -44,7 +44,8 @@
     `attempt_id` identifies this attempt of the request. `deadline_ms` is how long
     the caller waits, or None if the request does not state it. `key` is the API
     key, or None. `resume_after` is the id of the last event that the caller
-    received, or an empty string.
+    received, or an empty string. `resumes` is the attempt id of the request that
+    brought the first event of the stream that this one takes up, or an empty string.
     """
 
     method: str
@@ -56,6 +57,7 @@
     key: str | None = None
     prompt: Prompt | None = None
     resume_after: str = ""
+    resumes: str = ""
 
     @property
     def path(self):
--- a/brasstrail/core/servers.py
+++ b/brasstrail/core/servers.py
@@ -25,7 +25,8 @@
     `born_ms` is the wall-clock time at which the server started. It orders the
     starts of one identity or one address, and `sequence` orders the announcements
     of one start. `cold_ms` is how much longer the server is slow because it
-    started recently.
+    started recently. `version` is that of the server's software, or empty if the
+    announcement does not state it; one start has one version.
     """
 
     identity: str
@@ -37,6 +38,15 @@
     sequence: int
     slots: int = 1
     cold_ms: float = 0.0
+    version: str = ""
+
+    @property
+    def software(self):
+        """What identifies the software of the server.
+
+        It is the version; a start that does not state one is equal to itself only.
+        """
+        return self.version or f"{self.identity}@{self.born_ms}"
 
     @property
     def sort_key(self):
--- a/brasstrail/platform/announcements.py
+++ b/brasstrail/platform/announcements.py
@@ -47,6 +47,7 @@
         get_non_negative_integer(json_object, "sequence"),
         max(1, get_non_negative_integer(json_object, "slots")),
         max(0.0, get_number(json_object, "cold_remaining_ms")),
+        get_optional_string(json_object, "version"),
     )
 
 
@@ -83,6 +84,17 @@
     return value
 
 
+def get_optional_string(json_object, name):
+    """Return the string in a field, or "" if the field is missing.
+
+    Raises `errors.BadRequest` if the value is not a string.
+    """
+    value = json_object.get(name, "")
+    if not isinstance(value, str):
+        raise errors.BadRequest(f"An announcement has no text {name}.", REMEDY)
+    return value
+
+
 def get_non_negative_integer(json_object, name):
     """Return the integer of at least 0 in a field.
 
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -8,6 +8,7 @@
 - `X-Length-Hint` is the expected number of output tokens.
 - `X-Server-Load` holds a server's running and waiting requests and its slots.
 - `X-Tenant-Id` is the name of a workspace.
+- `Resumes` is the attempt id of the request that brought a stream's first event.
 - `X-Instance-Id` identifies one start of a server; after a restart it differs.
 """
 
@@ -27,6 +28,7 @@
 PROMPT_PARTS_HEADER = "X-Prefix-Hash"
 EXPECTED_OUTPUT_HEADER = "X-Length-Hint"
 LAST_EVENT_HEADER = "Last-Event-Id"
+RESUMED_ATTEMPT_HEADER = "Resumes"
 API_KEY_SCHEME = "token "
 MISDIRECTED_REQUEST_STATUS = 421
 
@@ -93,6 +95,7 @@
         key,
         parse_prompt(headers),
         headers.get(LAST_EVENT_HEADER, ""),
+        headers.get(RESUMED_ATTEMPT_HEADER, ""),
     )
 
 
--- a/brasstrail/platform/platform_test.py
+++ b/brasstrail/platform/platform_test.py
@@ -135,6 +135,7 @@
         "sequence": 2,
         "born": 7,
         "cold_remaining_ms": 1.5,
+        "version": "v1.2",
         "phase": "mixed",
     }
 
@@ -142,6 +143,14 @@
         found = announcements.decode("i", orjson.dumps(self.VALID))
         self.assertIs(found.phase, servers.ServerPhase.LEAVING)
         self.assertEqual(found.sort_key, (7, 2))
+        self.assertEqual((found.version, found.software), ("v1.2", "v1.2"))
+
+    def test_start_without_a_version_is_equal_to_itself_only(self):
+        rest = {key: each for key, each in self.VALID.items() if key != "version"}
+        found = announcements.decode("i", orjson.dumps(rest))
+        other = announcements.decode("j", orjson.dumps(rest))
+        self.assertEqual(found.version, "")
+        self.assertNotEqual(found.software, other.software)
 
     def test_rejects_malformed_announcements(self):
         cases = [b"", b"\xff", b"[]", b"{}"]
@@ -153,6 +162,7 @@
             ("sequence", 1.5),
             ("born", None),
             ("cold_remaining_ms", "x"),
+            ("version", 1),
         ):
             cases.append(orjson.dumps({**self.VALID, name: value}))
         for name in ("service", "address", "state", "sequence", "born", "zone"):
@@ -217,6 +227,10 @@
         self.assertEqual(call.prompt.expected_output_tokens, 50)
         self.assertEqual([part.tokens for part in call.prompt.parts], [800, 410])
 
+    def test_reads_which_stream_a_call_takes_up(self):
+        call = self.make_call(Last_Event_Id="4", Resumes="9c41")
+        self.assertEqual((call.resume_after, call.resumes), ("4", "9c41"))
+
     def test_rejects_a_deadline_that_is_not_a_number(self):
         with self.assertRaises(errors.BadRequest):
             self.make_call(X_Deadline_Ms="soon")
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -547,6 +547,7 @@
     slots: int
     cold_ms: float
     age_ms: int = 0
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -541,6 +541,7 @@
   slots @7 :Int64;
   coldMs @8 :Float64;
   ageMs @9 :Int64;
+  version @10 :Text;
 }
 
 struct ServerShare {
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -59,6 +59,7 @@
     reasons : the reason codes of failed attempts, for the log.
     framings, server_ends : how the answer of each of `servers` was framed and how it
         ended, for the log. An answer that was not read to its end is "unread".
+    versions : the software versions of `servers`, for the log.
     """
 
     def __init__(self, gateway, connection):
@@ -78,6 +79,7 @@
         self.reasons = []
         self.framings = []
         self.server_ends = []
+        self.versions = []
 
     @property
     def identity(self):
@@ -368,6 +370,7 @@
             content=self.content,
             server=choice.identity,
             born=self.gateway.pool.born_ms(choice.identity),
+            version=self.gateway.pool.version(choice.identity),
             reason=error.reason,
             may_have_run=isinstance(error, refusals.ExecutionUnknown),
             events=self.reply.events,
@@ -383,6 +386,7 @@
             "forwarding: A server was chosen.",
             id=self.identity,
             server=choice.identity,
+            version=self.gateway.pool.version(choice.identity),
             score_ms=round(choice.score_ms, 1),
             running=choice.running,
             others=choice.others,
@@ -406,6 +410,9 @@
             framings=",".join(self.framings),
             server_ends=",".join(self.server_ends),
             caller_end=self.reply.end,
+            versions=",".join(self.versions),
+            resumes=self.call.resumes if self.call else "",
+            resume_after=self.call.resume_after if self.call else "",
             waited_ms=self.waited_ms,
             first_ms=self.time_to_first_event_ms(),
             longest_pause_ms=self.reply.longest_pause_ms,
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -284,6 +284,8 @@
             "gateway: News of a server.",
             server=record.identity,
             phase=record.phase,
+            version=record.version,
+            born=record.born_ms,
             sequence=record.sequence,
             age_ms=record.age_ms,
             believed=str(known.phase),
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -112,6 +112,7 @@
             service=announcement.service,
             address=announcement.address,
             phase=str(announcement.phase),
+            version=announcement.version,
             born=announcement.born_ms,
             sequence=announcement.sequence,
             age_ms=age_ms,
@@ -194,6 +195,7 @@
         announcement.slots,
         announcement.cold_ms,
         age_ms,
+        announcement.version,
     )
 
 
@@ -209,6 +211,7 @@
         record.sequence,
         record.slots,
         record.cold_ms,
+        record.version,
     )
 
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -164,6 +164,7 @@
         if request.body or call.method not in ("GET", "HEAD"):
             headers["Content-Length"] = str(len(request.body))
         request.servers.append(self.choice.identity)
+        request.versions.append(self.gateway.pool.version(self.choice.identity))
         request.attempts_made += 1
         request.runs += 1
         self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
