Reproduce streams of two software versions, in memory and in the soak

The tools could not show it: one version, and no caller that takes a stream up. Fake servers have a version, state it in each event and say when they started. Callers of the soak leave within streams and take broken ones up at drawn gateways, at once, after a refusal's time or after seconds, at two gateways at once at times. New kinds of faults release or restart servers at another version and kill gateways one after another. Two new checks (soakstreams) use the users' rules: no stream of two versions, at any gateway; and the share of taken-up streams that go on, against the share of new ones that begin.

--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -68,6 +68,8 @@
         self.sequence = 0
         self.breaks_answers = False
         self.journal = open(options["journal"], "ab", buffering=0)
+        port = options["port"]
+        self.write_record("up", name=f"server-{port}", version=options["version"])
 
     def write_record(self, event, **details):
         """Append a record to the journal."""
@@ -89,7 +91,7 @@
             "service": self.options["service"],
             "address": f"127.0.0.1:{self.options['announced_port']}",
             "zone": self.options["zone"],
-            "version": "v1",
+            "version": self.options["version"],
             "slots": self.options["slots"],
             "state": self.state,
             "cold_remaining_ms": 0,
@@ -202,8 +204,10 @@
 
     async def send_stream(self, after, count):
         """Send the events after `after`; return whether the stream is complete."""
+        version = self.server.options["version"].encode()
         events = [
-            f"id: {number}\ndata: {self.identity} {number}/{count}\n\n".encode()
+            b"id: %d\ndata: %s %d/%d %s\n\n"
+            % (number, self.identity.encode(), number, count, version)
             for number in range(after + 1, count + 1)
         ]
         answer = self.begin_answer(sum(map(len, events)), EVENT_STREAM)
@@ -294,6 +298,17 @@
         self.set_header("X-Instance-Id", self.server.identity)
 
 
+class ReportHandler(web.RequestHandler):
+    """Report of the server's start."""
+
+    def initialize(self, server):
+        self.server = server
+
+    def get(self):
+        """Return when the server started."""
+        self.finish({"born": self.server.born_ms, "state": self.server.state})
+
+
 async def serve(options):
     """Run the server until it has drained after a SIGTERM."""
     httpclient.AsyncHTTPClient.configure("tornado.curl_httpclient.CurlAsyncHTTPClient")
@@ -302,6 +317,7 @@
     app = web.Application(
         [
             (r"/health", HealthHandler, context),
+            (r"/v1/report", ReportHandler, context),
             (r"/.*/(\d+)", ExecutionHandler, context),
         ],
         log_function=lambda handler: None,
@@ -324,6 +340,7 @@
 )
 @click.option("--service", required=True)
 @click.option("--zone", default="dc-1")
+@click.option("--version", default="v1", help="The version of its software.")
 @click.option("--slots", type=int, default=6)
 @click.option("--journal", required=True, help="File that lists executions.")
 @click.option("--keep-identity", is_flag=True, help="Each start has the same identity.")
--- a/brasstrail/fakes/fleetcalls.py
+++ b/brasstrail/fakes/fleetcalls.py
@@ -11,6 +11,7 @@
 ENGINE_SERVICE = "engine"
 PLAIN_SERVICE = "plain"
 HOST = "soak.example"
+EVENT_END = b"\n\n"
 # Routes by name, which is also the path prefix: type, whether a stream may be resumed,
 # and service. "look" and "act" have plain answers, "talk" and "tale" event streams.
 ROUTES = {
@@ -44,6 +45,9 @@
     to the connection, `is_complete` once the whole response was received. `events` is
     the number of events requested, `query` the query string with its question mark.
     `fatal` names a repeated request that ends its servers; it is empty otherwise.
+    For a stream that is taken up, `after` is the last event that the caller has and
+    `resumes` the identity of the request that brought the first one. The caller leaves
+    once it has received `leave_after` events, and has then set `has_left`.
     """
 
     identity: str
@@ -60,6 +64,15 @@
     events: int = 0
     query: str = ""
     fatal: str = ""
+    after: int = 0
+    resumes: str = ""
+    leave_after: int | None = None
+    has_left: bool = False
+
+    @property
+    def stream(self):
+        """The identity of the request that began the stream."""
+        return self.resumes or self.identity
 
 
 def make_document(version, workspaces):
@@ -179,9 +192,11 @@
             f"Host: {HOST}\r\n"
             f"X-Attempt-Id: {reply.identity}\r\nAuthorization: Token {reply.key}\r\n"
             f"X-Deadline-Ms: {int(1000 * deadline_s)}\r\nX-Token-Usage: 200,40\r\n"
-            "Content-Length: 0\r\n\r\n"
+            "Content-Length: 0\r\n"
         )
-        self.writer.write(head.encode())
+        if reply.after:
+            head += f"Last-Event-Id: {reply.after}\r\nResumes: {reply.resumes}\r\n"
+        self.writer.write(f"{head}\r\n".encode())
         await self.writer.drain()
         reply.is_sent = True
         await self.read_answer(reply)
@@ -203,6 +218,11 @@
             while size := int(await self.reader.readuntil(b"\r\n"), 16):
                 reply.body += await self.reader.readexactly(size)
                 await self.reader.readexactly(2)
+                if reply.leave_after and reply.body.count(EVENT_END) >= (
+                    reply.leave_after
+                ):
+                    reply.has_left = True
+                    return
             await self.reader.readexactly(2)
         reply.is_complete = True
         if headers.get("connection", "").lower() == "close":
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -3,15 +3,20 @@
 `Platform` drives the code of real gateways. Connections to servers and datagrams of
 gateways are objects, and datagrams are delivered only by `Platform.exchange`, so that a
 test decides what each gateway knows. The answers of servers are framed by a length, by
-chunks and by their connection in turn. A request whose target contains `end=NAME` ends
-each server that begins to run it, in the way that `ENDINGS` registers under the name;
-`only=WORKSPACE` limits this to a workspace. The run of a request whose target contains
-`call=TARGET` first sends another request to a gateway.
+chunks and by their connection in turn. The events of a stream state the version of the
+server that made them.
+
+The query of a request's target steers what happens. `count=N` sets the number of
+events, `break=N` breaks each run off within the event after its first N, and `leave=N`
+makes the caller leave after N events. `end=NAME` ends each server that begins to run
+the request, in the way that `ENDINGS` registers under the name; `only=WORKSPACE` limits
+this to a workspace. With `call=TARGET` the run first sends a request to a gateway.
 """
 
 import asyncio
 import itertools
 import logging
+import re
 import types
 import urllib.parse
 
@@ -27,16 +32,24 @@
 from brasstrail.transport import upstream
 
 HOST = "h"
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
+# How long the servers have been listed when a gateway starts, unless a test says less.
+LISTED_MS = 3_600_000
+POLL_INTERVAL_S = 0.005
 STREAM_EVENTS = 3
 
 
 class Server:
-    """A backend server. `runs` are the attempt ids of all runs, over all starts."""
+    """A backend server. `runs` are the attempt ids of all runs, over all starts.
 
-    def __init__(self, platform, identity, service):
+    `version` is that of its software.
+    """
+
+    def __init__(self, platform, identity, service, version):
         self.platform = platform
         self.identity = identity
         self.service = service
+        self.version = version
         self.address = f"{identity}:1"
         self.born_ms = 0
         self.is_up = False
@@ -45,11 +58,13 @@
         self.gate = asyncio.Event()
         self.gate.set()
 
-    def start(self):
-        """Begin a new start and announce it to all gateways."""
+    def start(self, version=None, is_announced=True):
+        """Begin a new start, with another version if one is given, and announce it."""
         self.born_ms = next(self.platform.starts)
+        self.version = version or self.version
         self.is_up = True
-        self.platform.announce(self, "ready")
+        if is_announced:
+            self.platform.announce(self, "ready")
 
     def end(self, is_reset=False):
         """End: all connections are closed, or reset, whatever was sent on them."""
@@ -102,8 +117,15 @@
             return await ENDINGS[query["end"]](self)
         await server.gate.wait()
         self.send_head(500 if "fail" in target else 200)
-        for number in range(1, STREAM_EVENTS + 1):
-            self.chunks.put_nowait(b"id: %d\ndata: x\n\n" % number)
+        after = int(headers.get("Last-Event-Id", 0))
+        last = int(query.get("count", STREAM_EVENTS))
+        broken_after = after + int(query.get("break", last))
+        for number in range(after + 1, last + 1):
+            if number > broken_after:
+                self.chunks.put_nowait(b"id: %d\nda" % number)
+                return self.break_off(is_reset=number % 2 == 0)
+            event = b"id: %d\ndata: %s\n\n" % (number, server.version.encode())
+            self.chunks.put_nowait(event)
         self.finish()
 
     def send_head(self, status):
@@ -250,9 +272,13 @@
 
 
 class CallerConnection:
-    """A caller's connection, which collects the answer."""
+    """A caller's connection, which collects the answer.
 
-    def __init__(self):
+    The caller leaves once it has received `leave_after` events.
+    """
+
+    def __init__(self, leave_after=None):
+        self.leave_after = leave_after
         self.status = 0
         self.headers = None
         self.body = b""
@@ -271,6 +297,17 @@
         if self.is_closed:
             raise iostream.StreamClosedError
         self.body += chunk
+        if self.leave_after is not None and len(self.events) >= self.leave_after:
+            self.is_closed = True
+            raise iostream.StreamClosedError
+
+    @property
+    def events(self):
+        """The received events, as (number, version) pairs."""
+        return [
+            (int(number), version.decode())
+            for number, version in EVENT_PATTERN.findall(self.body)
+        ]
 
     def finish(self):
         """Store that the answer is complete."""
@@ -322,10 +359,13 @@
     lines : the log entries of all gateways, as dicts.
     cut : names of gateways that receive and send no datagrams.
     has_controls : whether gateways hear of servers.
+    places : the (data centre, region) pairs in which the gateways are, in turn.
     """
 
-    def __init__(self, document, gateway_count=3):
+    def __init__(self, document, gateway_count=3, places=(("east", "one"),)):
         self.document = document
+        self.places = dict(places)
+        self.listed_ms = LISTED_MS
         self.starts = itertools.count(1)
         self.attempts = itertools.count(1)
         self.incarnations = itertools.count(1)
@@ -338,12 +378,19 @@
         self.cut = set()
         self.has_controls = True
         self.names = [f"g{number}" for number in range(gateway_count)]
+        self.data_centres = dict(
+            zip(self.names, itertools.cycle(self.places), strict=False)
+        )
         for name in self.names:
             self.add_gateway(name)
 
     def add_gateway(self, name):
         """Add a gateway, or start it anew without what it knew."""
-        node = settings.Node(name, ("gateway",), "one", "east", regions={})
+        data_centre = self.data_centres[name]
+        region = self.places[data_centre]
+        node = settings.Node(
+            name, ("gateway",), region, data_centre, regions=dict(self.places)
+        )
         options = settings.Settings(
             node, settings.Cluster("c", "a-secret-of-16-letters", ("127.0.0.1:1",))
         )
@@ -361,47 +408,57 @@
         created.gossip.transport = Transport(self, (name, 1))
         packed = documents.pack(orjson.dumps(self.document))
         created.apply_document(messages.Document(self.document["version"], packed))
-        created.apply_gateways(
+        self.gateways[name] = created
+        self.list_gateways(name, self.names)
+        records = tuple(self.make_record(each, "ready") for each in self.servers)
+        created.apply_directory(messages.Directory(True, records))
+
+    def list_gateways(self, name, names):
+        """Tell a gateway which gateways there are, as the control hosts do."""
+        others = [each for each in names if each != name]
+        self.gateways[name].apply_gateways(
             messages.Gateways(
-                tuple(each for each in self.names if each != name),
-                tuple(f"{each}:1" for each in self.names if each != name),
+                tuple(others),
+                tuple(f"{each}:1" for each in others),
                 (),
-                tuple("east" for each in self.names if each != name),
+                tuple(self.data_centres[each] for each in others),
             )
         )
-        self.gateways[name] = created
-        for server in self.servers:
-            self.announce(server, "ready", (name,))
 
     def record_line(self, logger, method, event):
         """Record a log entry instead of writing it."""
         self.lines.append(event)
         raise structlog.DropEvent
 
-    def add_servers(self, service, count):
+    def add_servers(self, service, count, version="v1"):
         """Add and start servers of a service."""
         for _ in range(count):
             identity = f"{service}-{len(self.servers)}"
-            server = Server(self, identity, service)
+            server = Server(self, identity, service, version)
             self.servers.append(server)
             self.by_address[server.address] = server
             server.start()
 
     def announce(self, server, phase, names=None):
         """Tell gateways of a server, as the control hosts do."""
-        record = messages.ServerRecord(
+        record = self.make_record(server, phase)
+        for name in (names or self.gateways) if self.has_controls else ():
+            self.gateways[name].apply_directory(messages.Directory(False, (record,)))
+
+    def make_record(self, server, phase):
+        """Return what control hosts tell of a server."""
+        return messages.ServerRecord(
             server.identity,
             server.service,
             server.address,
-            "east",
+            next(iter(self.places)),
             phase,
             server.born_ms,
             1,
             4,
             0.0,
+            version=server.version,
         )
-        for name in (names or self.gateways) if self.has_controls else ():
-            self.gateways[name].apply_directory(messages.Directory(False, (record,)))
 
     def is_stream(self, target):
         """Return whether the route of a request's target has streams."""
@@ -415,6 +472,11 @@
         for each in self.gateways.values():
             each.gossip.own_region.last_spent_ms = -gossip.SPENT_INTERVAL_MS
             each.gossip.send(each.gossip.own_region)
+            each.gossip.send(each.gossip.other_regions)
+        self.deliver()
+
+    def deliver(self):
+        """Deliver the datagrams that gateways have sent."""
         while self.datagrams:
             (source, _), (target, _), payload = self.datagrams.pop(0)
             if source not in self.cut and target not in self.cut:
@@ -433,7 +495,8 @@
         The gateway's lease is renewed first, however long the test has taken.
         """
         self.gateways[name].lease.renewed_ms = clock.boot_ms()
-        connection = CallerConnection()
+        query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
+        connection = CallerConnection(int(query["leave"]) if "leave" in query else None)
         fields = {
             "Host": HOST,
             "X-Attempt-Id": f"a{next(self.attempts)}",
@@ -455,7 +518,8 @@
     async def wait(self, tasks):
         """Wait until requests have ended; meanwhile gateways assign waiting ones."""
         while any(not task.done() for task in tasks):
-            await asyncio.wait(tasks, timeout=0.02)
+            await asyncio.wait(tasks, timeout=POLL_INTERVAL_S)
+            self.deliver()
             for each in self.gateways.values():
                 each.dispatch_waiting()
 
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -24,11 +24,11 @@
 
 from brasstrail.fakes import fleetcalls
 from brasstrail.roles import daemon
-from brasstrail.tools import cluster, soakcheck, soakfaults, soakload
+from brasstrail.tools import cluster, soakcheck, soakfaults, soakload, soakstreams
 
 CONTROL_HOST_COUNT = 3
 # (service, number of backend servers) for each service.
-SERVER_COUNTS = ((fleetcalls.PLAIN_SERVICE, 3), (fleetcalls.ENGINE_SERVICE, 3))
+SERVER_COUNTS = ((fleetcalls.PLAIN_SERVICE, 3), (fleetcalls.ENGINE_SERVICE, 4))
 SLOTS_PER_SERVER = 6
 READY_TIMEOUT_S = 20.0
 # The users' bound on recovery after the last fault, and the number of calls sent once
@@ -83,6 +83,7 @@
         self.running = None
         self.load = None
         self.server_arguments = {}
+        self.server_versions = {}
 
     async def run(self):
         """Run the soak and return (guarantee, details) pairs of all violations."""
@@ -158,6 +159,10 @@
                 port = self.running.port_allocator.allocate()
                 announced = self.running.port_allocator.allocate()
                 name = f"server-{port}"
+                first_versions = soakstreams.VERSIONS[:2]
+                self.server_versions[name] = first_versions[
+                    len(self.server_versions) % 2
+                ]
                 await self.running.add_relay(name, announced, port)
                 self.server_arguments[name] = (
                     ("--port", port, "--announced-port", announced),
@@ -178,7 +183,8 @@
         arguments = [
             argument for group in self.server_arguments[name] for argument in group
         ]
-        self.running.run(name, "brasstrail.fakes.fleet", *arguments)
+        version = ("--version", self.server_versions[name])
+        self.running.run(name, "brasstrail.fakes.fleet", *arguments, *version)
 
     async def restart_ended_servers(self):
         """Start servers again that a request has ended, some of them at once."""
@@ -271,11 +277,17 @@
     def process_names(self, group):
         """Return the names of the processes of a group.
 
-        `group` is "server" for the backend servers, "daemon" for all daemons, or the
-        name of a role.
+        `group` is "server" for the backend servers, "engine" for those that make
+        streams, "daemon" for all daemons, or the name of a role.
         """
         if group == "server":
             return list(self.server_arguments)
+        if group == "engine":
+            return [
+                name
+                for name, arguments in self.server_arguments.items()
+                if fleetcalls.ENGINE_SERVICE in arguments[1]
+            ]
         if group == "daemon":
             return list(self.running.nodes)
         return self.running.nodes_with_role(group)
@@ -330,6 +342,7 @@
         f"{len(soak.observations.replies)} requests ({status_counts}), "
         f"{acknowledged} of {len(soak.observations.documents)} documents, "
         f"{len(soakcheck.find_wrong_refusals(soak.observations))} wrongly held back, "
+        f"{soakstreams.count_shares(soak.observations)}, "
         f"{len(violations)} violations"
     )
     for guarantee, details in violations[:MAX_PRINTED_VIOLATIONS]:
@@ -343,6 +356,7 @@
         "faults": dict(soak.fault_counts),
         "requests": len(soak.observations.replies),
         "documents": len(soak.observations.documents),
+        "streams": str(soakstreams.count_shares(soak.observations)),
         "wrongly_held_back": len(soakcheck.find_wrong_refusals(soak.observations)),
         "violations": [[guarantee, repr(details)] for guarantee, details in violations],
     }
--- a/brasstrail/tools/soak_test.py
+++ b/brasstrail/tools/soak_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 from brasstrail.roles import daemon
-from brasstrail.tools import soak
+from brasstrail.tools import soak, soakstreams
 
 SHORT_RUN_OPTIONS = soak.Options(seed=1, seconds=5.0, gateways=2)
 FATAL_REQUEST_OPTIONS = soak.Options(
@@ -12,7 +12,11 @@
 BROKEN_ANSWER_OPTIONS = soak.Options(
     seed=2, seconds=8.0, gateways=4, fault_filters=("break off the answers",)
 )
+VERSION_OPTIONS = soak.Options(
+    seed=2, seconds=8.0, gateways=4, fault_filters=("version", "kill a gateway")
+)
 MIN_REQUESTS = 50
+MIN_TAKEN_UP = 20
 
 
 class ShortRunTest(unittest.TestCase):
@@ -42,6 +46,14 @@
         self.assertEqual(violations, [])
         self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
 
+    def test_streams_go_on_at_the_version_that_began_them(self):
+        """Guards against streams with events of servers of two software versions."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(VERSION_OPTIONS, None)
+        self.assertEqual(violations, [])
+        shares = soakstreams.count_shares(run.observations)
+        self.assertGreater(shares.taken_up, MIN_TAKEN_UP)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/tools/soakcheck.py
+++ b/brasstrail/tools/soakcheck.py
@@ -41,7 +41,9 @@
 # A server that a request ended is back and known again within this time: its silence,
 # the delay of its start and the time in which it is announced.
 SERVER_RETURN_S = 12.0
-EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)/(\d+)\n\n")
+# Hosts that had a fault within this time are left out of checks that need contact.
+CONTACT_LIMIT_S = 4.0
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)/(\d+) (\S+)\n\n")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -233,15 +235,16 @@
         if reply.route not in STREAM_ROUTES or reply.status != 200:
             continue
         event_matches = EVENT_PATTERN.findall(reply.body)
-        numbers = [int(number) for number, _, _, _ in event_matches]
-        if numbers != list(range(1, len(numbers) + 1)):
-            yield reply.identity, "order", numbers
+        numbers = [int(number) for number, *_ in event_matches]
+        last = reply.after + len(numbers)
+        if numbers != list(range(reply.after + 1, last + 1)):
+            yield reply.identity, "order", reply.after, numbers
         if any(
-            identity != reply.identity.encode() for _, identity, _, _ in event_matches
+            identity != reply.identity.encode() for _, identity, *_ in event_matches
         ):
             yield reply.identity, "foreign", event_matches[:3]
-        if reply.is_complete and len(numbers) != reply.events:
-            yield reply.identity, "end", len(numbers), reply.events
+        if reply.is_complete and last != reply.events:
+            yield reply.identity, "end", last, reply.events
 
 
 @check("what was read is answered")
@@ -254,7 +257,7 @@
     """
     starts, ends = observations.starts_by_request(), observations.ends_by_run()
     for reply in observations.replies:
-        if reply.is_complete or not reply.is_sent:
+        if reply.is_complete or not reply.is_sent or reply.has_left:
             continue
         interval = reply.sent_at - 1.0, reply.ended_at
         if observations.had_fault(reply.gateway, *interval):
--- a/brasstrail/tools/soakcheck_test.py
+++ b/brasstrail/tools/soakcheck_test.py
@@ -20,10 +20,10 @@
     return reply
 
 
-def make_stream(*numbers, count=3, identity="1", **changes):
+def make_stream(*numbers, count=3, identity="1", version="v1", **changes):
     """Return a reply that holds the numbered events of a stream of `count` events."""
     body = b"".join(
-        f"id: {number}\ndata: {identity} {number}/{count}\n\n".encode()
+        f"id: {number}\ndata: {identity} {number}/{count} {version}\n\n".encode()
         for number in numbers
     )
     return make_reply(identity, "tale", body=body, events=count, **changes)
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -11,7 +11,7 @@
 import signal
 
 from brasstrail.fakes import fleet, fleetcalls
-from brasstrail.tools import soakload
+from brasstrail.tools import soakload, soakstreams
 
 
 @dataclasses.dataclass(frozen=True)
@@ -271,3 +271,35 @@
             soak.running.processes[name].send_signal(signal.SIGUSR1)
 
     return FaultInjection(toggle, toggle)
+
+
+def change_version(soak, name):
+    """Make a server's next start one of another version."""
+    others = set(soakstreams.VERSIONS) - {soak.server_versions[name]}
+    soak.server_versions[name] = soak.random.choice(sorted(others))
+
+
+@fault("release a server to another version", "engine", 0.1)
+def release_to_another_version(soak, name):
+    change_version(soak, name)
+    return stopped(soak, name, soak.start_server)
+
+
+@fault("restart a server at another version", "engine", 0.05, 2.0)
+def restart_at_another_version(soak, name):
+    change_version(soak, name)
+    return FaultInjection(
+        lambda: soak.running.kill(name), lambda: soak.start_server(name)
+    )
+
+
+@cluster_fault("kill gateways one after another")
+async def kill_gateways_in_turn(soak, kind):
+    kills = []
+    for name in soak.process_names("gateway"):
+        if name not in soak.busy:
+            soak.busy.add(name)
+            kill = soak.disturb(kind, name, 0.2, killed(soak, name))
+            kills.append(asyncio.ensure_future(kill))
+            await asyncio.sleep(soak.random.uniform(0.5, 2.0))
+    await asyncio.gather(*kills)
--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -6,7 +6,7 @@
 import time
 
 from brasstrail.fakes import fleetcalls
-from brasstrail.tools import soakcheck
+from brasstrail.tools import soakcheck, soakstreams
 
 CALLER_COUNT = 24
 OPERATOR_COUNT = 2
@@ -107,6 +107,8 @@
         while not self.stopped:
             reply = await self.call(caller, gateway, self.observations.replies)
             calls += 1
+            if not reply.is_complete and soakstreams.received_events(reply):
+                await soakstreams.StreamCaller(self, reply).run()
             if not reply.is_complete or calls % CALLS_PER_GATEWAY == 0:
                 gateway = self.random.choice(sorted(self.gateways))
             await asyncio.sleep(self.random.uniform(0.05, 0.3))
@@ -114,13 +116,12 @@
 
     async def call(self, caller, gateway, replies, key=None):
         """Send one request with a drawn route; append its reply and return it."""
-        self.number += 1
         route = self.random.choices(*zip(*ROUTE_WEIGHTS.items(), strict=True))[0]
-        reply = fleetcalls.Reply(
-            f"{self.number:016x}", route, key or self.draw_key(), gateway, time.time()
-        )
+        reply = self.make_reply(route, key or self.draw_key(), gateway)
         if route in soakcheck.STREAM_ROUTES:
             reply.events = self.random.randint(1, MAX_STREAM_EVENTS)
+            if key is None and self.random.random() < soakstreams.LEAVE_PROBABILITY:
+                reply.leave_after = self.random.randint(1, reply.events)
         if self.random.random() < UNIQUE_CONTENT_FRACTION:
             reply.query = f"?number={self.number}"
         replies.append(reply)
@@ -128,6 +129,12 @@
         await caller.call(address, reply, reply.events, CALL_DEADLINE_S)
         return reply
 
+    def make_reply(self, route, key, gateway):
+        """Return the empty `fleetcalls.Reply` of a new request."""
+        self.number += 1
+        identity = f"{self.number:016x}"
+        return fleetcalls.Reply(identity, route, key, gateway, time.time())
+
     def draw_key(self):
         """Return a key of a permanent workspace, or one that may have been removed."""
         kind = self.random.random()
@@ -168,11 +175,8 @@
 
     async def send_fatal(self, request, gateway):
         """Send a request that ends its servers once, on a connection of its own."""
-        self.number += 1
         key = self.random.choice(request.keys)
-        reply = fleetcalls.Reply(
-            f"{self.number:016x}", request.route, key, gateway, time.time()
-        )
+        reply = self.make_reply(request.route, key, gateway)
         reply.events = MAX_STREAM_EVENTS if request.is_stream else 0
         reply.query = f"?end={request.ending}&name={request.name}"
         reply.fatal = request.name
