Continue a stream within its answer only at the version that began it

The first event that is passed on binds the request to the software of its server. From then on its work may run only on servers of it: choice, capacity, expected wait, queue and fail-over count no others (pool_test). A start that states no version is equal to itself only. If another start of the server was announced meanwhile, it is not certain which one made the event, and the stream goes on nowhere. Where no server is left the answer is cut at once, also where only tried servers are left, for which it waited until the caller's time-out before; a log line names the servers that were left out.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -72,7 +72,9 @@
     first: the tier that applies (the workspace's if it has one), then the route's own.
     `first_answer_due_ms` is when the first answer is due; the first answer is the head
     of a successful answer. `caller_deadline_ms` is when the caller stops waiting.
-    `output_tokens` is the expected length of the answer.
+    `output_tokens` is the expected length of the answer. `software` limits the work to
+    servers with this `servers.Announcement.software`: None to none, and an empty string
+    to no server at all.
     """
 
     identity: str
@@ -84,6 +86,14 @@
     input_tokens: int = 0
     output_tokens: int = 0
     parts: tuple = ()
+    software: str | None = None
+
+    def may_run_on(self, server):
+        """Return whether a server is of the work's service and software."""
+        announcement = server.announcement
+        return announcement.service == self.service and (
+            self.software is None or announcement.software == self.software
+        )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -138,7 +148,7 @@
     `expected_first_answer_ms` is how long a server of default speed takes for a first
     answer under the present load. `running` counts this gateway's requests on the
     server, `others` those of the other gateways, and `candidates` the servers that had
-    capacity.
+    capacity. `software` is that of the work.
     """
 
     identity: str
@@ -147,6 +157,7 @@
     running: int
     others: int
     candidates: int
+    software: str | None = None
 
 
 class Pool:
@@ -318,7 +329,7 @@
         if not self.has_capacity_for_rank(work, now_ms):
             return None
         for identity, server in self.servers.items():
-            if not self.is_usable(server, work.service, now_ms) or identity in tried:
+            if not self.is_usable(server, work, now_ms) or identity in tried:
                 continue
             if not self.has_capacity(server, now_ms):
                 continue
@@ -332,7 +343,15 @@
         own_running = len(server.running)
         others = self.total_running(server, now_ms) - own_running
         first_answer_ms = self.expected_first_answer_ms(server, work, now_ms)
-        return Choice(identity, score, first_answer_ms, own_running, others, candidates)
+        return Choice(
+            identity,
+            score,
+            first_answer_ms,
+            own_running,
+            others,
+            candidates,
+            work.software,
+        )
 
     def record_arrival(self, work):
         """Record that a rank has requested a service."""
@@ -356,39 +375,49 @@
             return True
         depth = higher_ranks / max(1, len(active_ranks) - 1)
         usable_fraction = 1.0 - RESERVED_CAPACITY_FRACTION * depth * depth
-        capacity, running = self.service_capacity(work.service, now_ms)
+        capacity, running = self.usable_capacity(work, now_ms)
         return running < usable_fraction * capacity
 
-    def service_capacity(self, service, now_ms):
-        """Return the capacity of the usable servers of a service, and its use.
+    def usable_capacity(self, work, now_ms):
+        """Return the capacity of the servers that may run a work now, and its use.
 
         Both count requests, over all gateways.
         """
         total_capacity = 0.0
         running = 0
         for server in self.servers.values():
-            if self.is_usable(server, service, now_ms):
+            if self.is_usable(server, work, now_ms):
                 total_capacity += self.capacity(server)
                 running += self.total_running(server, now_ms)
         return total_capacity, running
 
-    def is_usable(self, server, service, now_ms):
-        """Return whether a server accepts new work of a service."""
-        announcement = server.announcement
-        if announcement.service != service:
-            return False
-        if announcement.phase is not servers.ServerPhase.READY:
-            return False
-        return now_ms >= server.backoff_until_ms
+    def is_usable(self, server, work, now_ms):
+        """Return whether a server accepts a new work now."""
+        is_ready = server.announcement.phase is servers.ServerPhase.READY
+        is_backing_off = now_ms < server.backoff_until_ms
+        return is_ready and not is_backing_off and work.may_run_on(server)
 
-    def has_servers(self, service):
-        """Return whether any server of a service is known to be ready."""
+    def has_servers(self, work, tried=()):
+        """Return whether any server is known to be ready that may run a work.
+
+        `tried` are the identities of servers that must not be chosen again.
+        """
         return any(
-            server.announcement.service == service
+            identity not in tried
             and server.announcement.phase is servers.ServerPhase.READY
-            for server in self.servers.values()
+            and work.may_run_on(server)
+            for identity, server in self.servers.items()
         )
 
+    def servers_left_out(self, work):
+        """Return the servers of a work's service that its software excludes."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.announcement.service == work.service
+            and not work.may_run_on(server)
+        ]
+
     def total_running(self, server, now_ms):
         """Return how many requests all gateways run on a server."""
         return len(server.running) + sum(
@@ -501,17 +530,18 @@
 
         Dispatched work leaves the queue and counts as running on the chosen server.
         When a request without earlier attempts finds no server, all further requests
-        of its service and rank keep waiting.
+        of its service, rank and software keep waiting.
         """
         dispatches = []
         blocked = set()
         for ticket, (work, tried) in self.waiting_in_order(now_ms):
-            if (work.service, work.rank) in blocked:
+            group = work.service, work.rank, work.software
+            if group in blocked:
                 continue
             choice = self.choose(work, tried, now_ms)
             if choice is None:
                 if not tried:
-                    blocked.add((work.service, work.rank))
+                    blocked.add(group)
                 continue
             del self.waiting[ticket]
             self.add_running(choice.identity, work)
@@ -552,11 +582,13 @@
         ahead = sum(
             1
             for other, _ in self.waiting.values()
-            if other.service == work.service and other.rank <= work.rank
+            if other.service == work.service
+            and other.rank <= work.rank
+            and self.compete(other, work)
         )
         if not ahead:
             return 0.0
-        capacity, _ = self.service_capacity(work.service, now_ms)
+        capacity, _ = self.usable_capacity(work, now_ms)
         start_interval_ms = (
             self.service_time_ms(work.service) * self.gateway_count / max(1.0, capacity)
         )
@@ -574,6 +606,11 @@
             ahead * start_interval_ms / max(MIN_REMAINING_FRACTION, remaining_fraction)
         )
 
+    def compete(self, work, other):
+        """Return whether a server may run either of two works of a service."""
+        is_bound = work.software is not None and other.software is not None
+        return not is_bound or work.software == other.software
+
     def service_time_ms(self, service):
         """Return how long a request of a service occupies capacity, in ms."""
         return self.service_times_ms.get(service, DEFAULT_SERVICE_TIME_MS)
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -86,7 +86,34 @@
         gateway_pool = make_pool(announce("a", phase=servers.ServerPhase.LEAVING))
         enqueue_work(gateway_pool, make_work("1"))
         self.assertEqual(gateway_pool.dispatch_waiting(0), [])
-        self.assertFalse(gateway_pool.has_servers("llm"))
+        self.assertFalse(gateway_pool.has_servers(make_work("x")))
+
+    def test_bound_work_counts_servers_of_its_software_only(self):
+        """Capacity, waits and dispatch leave servers of other versions out."""
+        gateway_pool = make_pool(
+            announce("a", version="v1"), announce("b", version="v2")
+        )
+        bound = dataclasses.replace(make_work("x"), software="v2")
+        nowhere = dataclasses.replace(bound, software="")
+        capacity = 2 + pool.ENGINE_QUEUE_REQUESTS
+        self.assertEqual(gateway_pool.usable_capacity(bound, 0), (capacity, 0))
+        self.assertEqual(
+            gateway_pool.usable_capacity(make_work("y"), 0), (2 * capacity, 0)
+        )
+        self.assertEqual(gateway_pool.choose(bound, (), 0).identity, "b")
+        self.assertIsNone(gateway_pool.choose(bound, ("b",), 0))
+        self.assertFalse(gateway_pool.has_servers(bound, ("b",)))
+        self.assertFalse(gateway_pool.has_servers(nowhere))
+        self.assertEqual(len(gateway_pool.servers_left_out(bound)), 1)
+        for number in range(capacity):
+            gateway_pool.add_running("b", make_work(str(number)))
+        enqueue_work(gateway_pool, bound)
+        enqueue_work(gateway_pool, make_work("z"))
+        ((_, choice),) = gateway_pool.dispatch_waiting(0)
+        self.assertEqual(choice.identity, "a")
+        other = dataclasses.replace(bound, identity="w", software="v1")
+        self.assertEqual(gateway_pool.expected_wait_ms(other, 0), 0.0)
+        self.assertGreater(gateway_pool.expected_wait_ms(bound, 0), 0.0)
 
     def test_failed_server_is_used_again_after_backoff(self):
         gateway_pool = make_pool(announce("a"))
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -34,6 +34,7 @@
 # the caller's time remains.
 MAX_LEASE_WAIT_MS = 1500
 LEASE_WAIT_FRACTION = 1 / 3
+MAX_LOGGED_SERVERS = 8
 # A request whose answer has started takes precedence over all other requests.
 STARTED_ANSWER_RANK = (0, 0)
 
@@ -60,6 +61,9 @@
     framings, server_ends : how the answer of each of `servers` was framed and how it
         ended, for the log. An answer that was not read to its end is "unread".
     versions : the software versions of `servers`, for the log.
+    software : the `servers.Announcement.software` that began the stream, at which alone
+        it may go on; None before an event has been passed on, and empty if it is not
+        certain which it was.
     """
 
     def __init__(self, gateway, connection):
@@ -80,6 +84,7 @@
         self.framings = []
         self.server_ends = []
         self.versions = []
+        self.software = None
 
     @property
     def identity(self):
@@ -207,14 +212,39 @@
             prompt.parts if prompt else (),
         )
 
+    def bound_work(self):
+        """Return the request's work, bound to the software that began its stream.
+
+        The rest of a stream goes before requests that have not begun.
+        """
+        work = self.work()
+        if self.software is None:
+            return work
+        return dataclasses.replace(
+            work, software=self.software, rank=STARTED_ANSWER_RANK
+        )
+
+    def begin_stream(self, announcement):
+        """Record that the first event of the stream is passed on.
+
+        `announcement` is that of the server to which the request was sent.
+        """
+        if self.software is not None:
+            return
+        current = self.gateway.pool.servers.get(announcement.identity)
+        self.software = announcement.software
+        if current and current.announcement.software != self.software:
+            # The server has started again since; it may have made the event before.
+            self.software = ""
+
     async def forward(self):
         """Send the request until it is answered; return the outcome to be logged."""
-        work = self.work()
-        self.gateway.pool.record_arrival(work)
+        self.gateway.pool.record_arrival(self.work())
         failure = None
         while True:
             try:
                 self.gateway.crashes.check(self)
+                work = self.bound_work()
                 choice = await self.acquire_server(work)
                 self.tried.add(choice.identity)
                 result = await sending.Attempt(self, choice, work).run()
@@ -250,9 +280,7 @@
         gateway = self.gateway
         now_ms = clock.now_ms()
         latest_ms = self.latest_start_ms(work)
-        if self.reply.head_sent:
-            work = dataclasses.replace(work, rank=STARTED_ANSWER_RANK)
-        elif gateway.pool.has_servers(work.service):
+        if not self.reply.head_sent and gateway.pool.has_servers(work):
             if now_ms + gateway.pool.expected_wait_ms(work, now_ms) > latest_ms:
                 raise self.refusal("overload", self.retry_after_s())
         choice = await gateway.wait_for_server(
@@ -270,14 +298,16 @@
     def latest_start_ms(self, work):
         """Return the latest time at which a server must be assigned.
 
-        Raises `refusals.Refused` if no server is known and no announcement is
-        expected soon.
+        Raises `refusals.Refused` if no server is known that may run the work and was
+        not tried, and no announcement is expected soon.
         """
         latest_ms = self.first_answer_deadline_ms() - self.min_service_time_ms(work)
-        if self.gateway.pool.has_servers(work.service):
+        if self.gateway.pool.has_servers(work, self.tried):
             return latest_ms
         if not self.gateway.is_discovering_servers():
-            raise self.refusal("no_server", NO_SERVER_RETRY_S)
+            self.log_left_out(work)
+            reason = "no_server" if work.software is None else "no_server_of_version"
+            raise self.refusal(reason, NO_SERVER_RETRY_S)
         return min(latest_ms, clock.now_ms() + self.lease_wait_ms())
 
     def refusal(self, reason, retry_after_s):
@@ -352,9 +382,10 @@
         )
         return is_allowed
 
-    def can_fail_over(self, work):
+    def can_fail_over(self):
         """Return whether the request may continue at another server with capacity."""
         now_ms = clock.now_ms()
+        work = self.bound_work()
         if not self.is_repeatable():
             return False
         if not self.gateway.budget.allows_retry(work.service, now_ms):
@@ -387,12 +418,30 @@
             id=self.identity,
             server=choice.identity,
             version=self.gateway.pool.version(choice.identity),
+            required_version=choice.software or "",
             score_ms=round(choice.score_ms, 1),
             running=choice.running,
             others=choice.others,
             candidates=choice.candidates,
         )
 
+    def log_left_out(self, work):
+        """Log the servers that the software of a stream's first event excludes."""
+        if work.software is None:
+            return
+        left_out = self.gateway.pool.servers_left_out(work)
+        self.gateway.log.info(
+            "forwarding: No server has the version that began the stream.",
+            id=self.identity,
+            version=work.software,
+            left_out=",".join(
+                f"{each.announcement.identity}:{each.announcement.version}"
+                for each in left_out[:MAX_LOGGED_SERVERS]
+            ),
+            left_out_count=len(left_out),
+            tried=",".join(sorted(self.tried)),
+        )
+
     def record_outcome(self, outcome):
         """Log and count the outcome of the request."""
         gateway = self.gateway
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -112,7 +112,7 @@
 
     def announce(self, identity, address, zone="east", phase="ready", sequence=1):
         record = messages.ServerRecord(
-            identity, "s", address, zone, phase, 1, sequence, 4, 0.0
+            identity, "s", address, zone, phase, 1, sequence, 4, 0.0, version="v1"
         )
         self.gateway.apply_directory(messages.Directory(False, (record,)))
 
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -11,6 +11,7 @@
 import structlog
 from tornado import httpclient
 
+from brasstrail.coordination import pool
 from brasstrail.core import errors, servers
 from brasstrail.protocol import messages
 from brasstrail.roles import control as control_module
@@ -36,6 +37,8 @@
     "services": [{"name": "s", "max_conns": 9}],
 }
 
+WORK = pool.Work("x", "s", (1, 1), 0, 1000, 1000)
+
 
 def drop_log_line(logger, method, event):
     """Drop the log entry."""
@@ -166,7 +169,7 @@
         await self.call(self.controls[2], "PUT", path, orjson.dumps(announcement))
         await wait_until(
             lambda: (
-                not any(each.gateway.pool.has_servers("s") for each in self.gateways)
+                not any(each.gateway.pool.has_servers(WORK) for each in self.gateways)
             )
         )
         reply = await self.call(self.controls[0], "PUT", path, b'{"service": 3}')
--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -95,11 +95,8 @@
         else:
             self.event_cutter.begin_run()
 
-    async def relay_events(self, head, chunk):
-        """Send the events that `chunk` completes."""
-        complete_events = self.event_cutter.feed(chunk)
-        if not complete_events:
-            return
+    async def write_events(self, head, complete_events):
+        """Send complete events of a stream."""
         self.record_event_time()
         self.write_stream_head(head)
         if self.connection.stream.closed():
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -52,6 +52,7 @@
     Attributes
     ----------
     tracked_run : `suspects.Run`, or None before the request is written.
+    sent_to : the `servers.Announcement` of the server when the request was written.
     """
 
     def __init__(self, request, choice, work):
@@ -64,6 +65,7 @@
         self.connection = None
         self.head = None
         self.tracked_run = None
+        self.sent_to = None
 
     async def run(self):
         """Send the request and relay its answer to the caller.
@@ -136,7 +138,7 @@
             except upstream.ConnectFailed as error:
                 raise refusals.NotRun("connect_failed", True) from error
         # The server may have left while the connection was opened.
-        self.announcement()
+        self.sent_to = self.announcement()
 
     def announcement(self):
         """Return the server's announcement; raise `NotRun` if the server has left."""
@@ -268,7 +270,10 @@
                 )
                 if chunk is None:
                     break
-                await self.reply.relay_events(self.head, chunk)
+                complete_events = self.reply.event_cutter.feed(chunk)
+                if complete_events:
+                    self.request.begin_stream(self.sent_to)
+                    await self.reply.write_events(self.head, complete_events)
         except upstream.AnswerIncomplete as error:
             raise refusals.ServerBrokeOff("broken_stream", True) from error
         self.check_stream_end()
@@ -298,7 +303,7 @@
             try:
                 received = await asyncio.wait_for(read(), timeout_ms / 1000)
             except asyncio.TimeoutError:
-                if self.request.can_fail_over(self.work):
+                if self.request.can_fail_over():
                     raise refusals.ExecutionUnknown("silent", True) from None
             else:
                 now_ms = clock.now_ms()
--- a/brasstrail/roles/versions_test.py
+++ b/brasstrail/roles/versions_test.py
@@ -5,12 +5,15 @@
 import unittest
 
 import brasstrail.platform  # noqa: F401
+from brasstrail.core import clock
 from brasstrail.fakes import memory
 
 STREAM_LENGTH = 7
 # Each run breaks off within the event after its second, and callers leave after three.
 BROKEN_TARGET = f"/stream/{{}}?count={STREAM_LENGTH}&break=2"
 LEFT_TARGET = f"/stream/{{}}?count={STREAM_LENGTH}&leave=3"
+# A refusal or the end of a cut stream comes within this time: far below the time limit.
+SOON_MS = 1500
 TWO_REGIONS = (("east", "one"), ("west", "one"), ("south", "two"))
 
 
@@ -142,8 +145,17 @@
 class OneVersionTest(VersionCase):
     """Streams that go on within an answer, and over tries at any gateway."""
 
+    async def test_answer_has_events_of_one_version(self):
+        """Guards against an answer that its gateway continues at another version."""
+        for number in range(24):
+            name = self.platform.names[number % 4]
+            target = f"/stream/{number}?count=4&break=2"
+            reply = await self.platform.call(name, target)
+            self.assertEqual(len({version for _, version in reply.events}), 1)
+            self.relax()
+
     async def test_stream_goes_on_within_an_answer_at_its_version(self):
-        """Guards against an answer with events from servers of two versions."""
+        """Each answer goes on at another server once, and is then taken up."""
         streams = await self.complete_streams(BROKEN_TARGET, 16)
         self.assert_each_at_one_version(streams)
 
@@ -175,5 +187,31 @@
         self.assert_each_at_one_version(streams)
 
 
+class QueueTest(VersionCase):
+    """What waits for servers of one version, and what does not."""
+
+    async def test_stream_without_a_server_of_its_version_is_cut_soon(self):
+        """Other versions have room, but no server that may go on."""
+        for server in self.platform.servers[1:3]:
+            self.platform.announce(server, "leaving")
+        for server in self.platform.servers[3:]:
+            server.gate.clear()
+        gateway = self.platform.gateways["g0"]
+        for identity, server in gateway.pool.servers.items():
+            server.slowdown = 0.1 if identity == "s-0" else 10.0
+        gateway.lease.started_ms -= 60_000
+        started_ms = clock.now_ms()
+        reply = await self.platform.call("g0", "/stream/x?count=4&break=2")
+        self.assertEqual(reply.events, [(1, "v1"), (2, "v1")])
+        self.assertTrue(reply.is_closed and not reply.is_finished)
+        self.assertLess(clock.now_ms() - started_ms, SOON_MS)
+        (line,) = [
+            line
+            for line in self.platform.lines
+            if line["event"].startswith("forwarding: No server has the version")
+        ]
+        self.assertEqual((line["version"], line["left_out_count"]), ("v1", 3))
+
+
 if __name__ == "__main__":
     unittest.main()
