Let a stream that is taken up go on only at the version that began it

A gateway now records the service and the software of each stream when its first event is passed on, and tells holders first: up to three gateways of its region, of different data centres, and one of another region, chosen by a hash of the stream's key. The key digests workspace, content and attempt id, so that a stream of others is not known. Who takes a stream up knows, or asks: all gateways where there are up to 32, else those that the hash names in each region. A new holder is told what it is to hold when a gateway starts or the list of gateways changes. Where nobody knows, the stream goes on only if the service has certainly had one software; else it is refused with 503, soon, with a time to come again. Memory is bounded, and a workspace that fills the table loses its own streams only.

Two tests on servers that start again under their identity are red, and listed.

--- /dev/null
+++ b/brasstrail/coordination/holders.py
@@ -0,0 +1,96 @@
+"""Which gateways hold a record, chosen by a hash of its key.
+
+A `HolderRing` is computed from the list of gateways alone, so that gateways with the
+same list choose the same holders, and a gateway that joins or leaves changes few of
+them. Each region has a ring of its own: a record is held in the region that made it, by
+gateways of different data centres where there are any, and by one gateway of another
+region.
+"""
+
+import bisect
+import dataclasses
+import hashlib
+import itertools
+
+# Positions of each gateway on its ring; they even out how many records each holds.
+POSITIONS_PER_GATEWAY = 8
+# Holders in the region that made a record, that gateway included if it is one of them.
+HOLDERS_IN_REGION = 3
+HASH_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """A gateway, its data centre and its region."""
+
+    name: str
+    data_centre: str
+    region: str
+
+
+class HolderRing:
+    """The rings of all regions.
+
+    Parameters
+    ----------
+    members : the `Member`s, the own gateway included.
+
+    Attributes
+    ----------
+    rings : sorted (position, `Member`) pairs by region.
+    """
+
+    def __init__(self, members):
+        self.rings = {}
+        for member in members:
+            positions = self.rings.setdefault(member.region, [])
+            for number in range(POSITIONS_PER_GATEWAY):
+                positions.append((hash_text(f"{number} {member.name}"), member))
+        for positions in self.rings.values():
+            positions.sort(key=lambda each: (each[0], each[1].name))
+
+    def walk(self, region, key):
+        """Yield the members of a region in the order of its ring, from a key on."""
+        positions = self.rings.get(region, [])
+        start = bisect.bisect(positions, hash_text(key), key=lambda each: each[0])
+        seen = set()
+        for _, member in itertools.chain(positions[start:], positions[:start]):
+            if member.name not in seen:
+                seen.add(member.name)
+                yield member
+
+    def holders_in(self, region, key):
+        """Return the names of a record's holders in one region, the first one first."""
+        chosen, others, data_centres = [], [], set()
+        for member in self.walk(region, key):
+            if member.data_centre in data_centres:
+                others.append(member.name)
+            else:
+                data_centres.add(member.data_centre)
+                chosen.append(member.name)
+            if len(chosen) == HOLDERS_IN_REGION:
+                break
+        return (chosen + others)[:HOLDERS_IN_REGION]
+
+    def holders(self, region, key):
+        """Return the names of all holders of a record that was made in a region."""
+        names = self.holders_in(region, key)
+        other_regions = sorted(set(self.rings) - {region})
+        if other_regions:
+            other = other_regions[hash_text(key) % len(other_regions)]
+            names += self.holders_in(other, key)[:1]
+        return names
+
+    def possible_holders(self, key):
+        """Return the names of all gateways that may hold a record of any region."""
+        return [
+            name
+            for region in sorted(self.rings)
+            for name in self.holders_in(region, key)
+        ]
+
+
+def hash_text(text):
+    """Return a number that is the same for a text in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest)
--- a/brasstrail/core/catalog.py
+++ b/brasstrail/core/catalog.py
@@ -61,6 +61,11 @@
     max_pause_ms: float = 0.0
     event_timeout_ms: float = float("inf")
 
+    @property
+    def services(self):
+        """The names of the services that requests of this route may go to."""
+        return {split.service for split in self.splits if split.weight > 0}
+
     @property
     def is_repeatable(self):
         """Whether a request of this route may run more than once."""
--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -212,7 +212,8 @@
         ]
         answer = self.begin_answer(sum(map(len, events)), EVENT_STREAM)
         broken = random.choice(events) if events and self.server.draws_break() else b""
-        for event, next_event in zip(events, [*events[1:], b""], strict=True):
+        next_events = [*events[1:], b""][: len(events)]
+        for event, next_event in zip(events, next_events, strict=True):
             await asyncio.sleep(random.uniform(0.5, 1.5) * MEAN_EVENT_INTERVAL_S)
             if event == broken:
                 await answer.send_half(event)
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -32,6 +32,7 @@
 from brasstrail.transport import upstream
 
 HOST = "h"
+REPORT_PATH = "/v1/report"
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 # How long the servers have been listed when a gateway starts, unless a test says less.
 LISTED_MS = 3_600_000
@@ -85,17 +86,34 @@
         self.attempt_id = ""
         self.chunks = asyncio.Queue()
         self.runner = None
-        self.framing = next(server.platform.framings)
+        self.framing = None
         self.is_stream = False
         self.head_sent = False
         self.end = None
+        self.opened_ms = clock.now_ms()
         server.connections.add(self)
 
     def send(self, method, target, headers, body):
         """Send a request; the server runs it in a task of its own."""
+        if target == REPORT_PATH:
+            return self.report()
+        self.framing = next(self.server.platform.framings)
         self.attempt_id = headers["X-Attempt-Id"]
         self.runner = asyncio.ensure_future(self.run(target, headers))
 
+    def report(self):
+        """Answer when the server started."""
+        if not self.server.is_up:
+            return self.break_off()
+        self.framing = upstream.Framing.LENGTH
+        self.send_head(200)
+        self.chunks.put_nowait(orjson.dumps({"born": self.server.born_ms}))
+        self.finish()
+
+    def is_ready_for_next(self):
+        """Return whether another request may be sent."""
+        return self.server.is_up
+
     async def run(self, target, headers):
         """Run a request as the server does."""
         server = self.server
@@ -359,6 +377,8 @@
     lines : the log entries of all gateways, as dicts.
     cut : names of gateways that receive and send no datagrams.
     has_controls : whether gateways hear of servers.
+    listed_ms : for how long the servers have been listed when a gateway starts.
+    lease_age_ms : the age of a gateway's lease when it receives a request.
     places : the (data centre, region) pairs in which the gateways are, in turn.
     """
 
@@ -366,6 +386,7 @@
         self.document = document
         self.places = dict(places)
         self.listed_ms = LISTED_MS
+        self.lease_age_ms = 0
         self.starts = itertools.count(1)
         self.attempts = itertools.count(1)
         self.incarnations = itertools.count(1)
@@ -411,7 +432,13 @@
         self.gateways[name] = created
         self.list_gateways(name, self.names)
         records = tuple(self.make_record(each, "ready") for each in self.servers)
-        created.apply_directory(messages.Directory(True, records))
+        versions = tuple(
+            messages.ServiceVersion(each.service, each.version, 0)
+            for each in self.servers
+        )
+        created.apply_directory(
+            messages.Directory(True, records, self.listed_ms, versions)
+        )
 
     def list_gateways(self, name, names):
         """Tell a gateway which gateways there are, as the control hosts do."""
@@ -494,7 +521,7 @@
 
         The gateway's lease is renewed first, however long the test has taken.
         """
-        self.gateways[name].lease.renewed_ms = clock.boot_ms()
+        self.gateways[name].lease.renewed_ms = clock.boot_ms() - self.lease_age_ms
         query = dict(urllib.parse.parse_qsl(target.partition("?")[2]))
         connection = CallerConnection(int(query["leave"]) if "leave" in query else None)
         fields = {
--- a/brasstrail/fakes/scripted.py
+++ b/brasstrail/fakes/scripted.py
@@ -1,6 +1,7 @@
 """A fake backend server with scripted responses on raw TCP connections.
 
-Each request is answered by the next step of the script; the last step is repeated. A
+Each request is answered by the next step of the script; the last step is repeated. The
+question when the server started is answered without a step. A
 step is a coroutine function of the request and the writer. All received requests are
 recorded in `ScriptedServer.requests`.
 """
@@ -10,6 +11,8 @@
 
 from brasstrail.transport import sockets
 
+REPORT_PATH = "/v1/report"
+
 
 @dataclasses.dataclass(frozen=True)
 class Request:
@@ -34,12 +37,14 @@
 
     Attributes
     ----------
+    born_ms : when the server says that it started.
     peer_closed_count : number of connections that ended by a `ConnectionError`, as when
         the peer closes during a step.
     """
 
     def __init__(self, *steps):
         self.steps = list(steps)
+        self.born_ms = 1
         self.requests = []
         self.connection_count = 0
         self.peer_closed_count = 0
@@ -52,6 +57,12 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def report(self):
+        """Return the answer that states when the server started."""
+        body = b'{"born": %d}' % self.born_ms
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        return head + body
+
     def close(self):
         """Stop listening; open connections stay open."""
         self.server.close()
@@ -65,6 +76,9 @@
                 request = await read_request(reader, number)
                 if request is None:
                     return
+                if request.request_line.startswith(f"GET {REPORT_PATH} "):
+                    writer.write(self.report())
+                    continue
                 self.requests.append(request)
                 step = self.steps.pop(0) if len(self.steps) > 1 else self.steps[0]
                 await self.answer(step, request, reader, writer)
--- a/brasstrail/platform/dialect.py
+++ b/brasstrail/platform/dialect.py
@@ -24,6 +24,14 @@
             call, identity, workspace, remaining_ms, resume_after
         )
 
+    def start_request(self, address):
+        """Return the target and headers of the question when a server started."""
+        return headers.start_request(address)
+
+    def read_start(self, status, body):
+        """Return when a server started, as it answers that question, or None."""
+        return headers.read_start(status, body)
+
     def read_answer(self, start_line, http_headers):
         """Return the decoded head of a backend server's answer."""
         return headers.read_answer(start_line, http_headers)
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -12,6 +12,7 @@
 - `X-Instance-Id` identifies one start of a server; after a restart it differs.
 """
 
+import orjson
 from tornado import httputil
 
 from brasstrail.core import calls, errors, servers
@@ -29,6 +30,8 @@
 EXPECTED_OUTPUT_HEADER = "X-Length-Hint"
 LAST_EVENT_HEADER = "Last-Event-Id"
 RESUMED_ATTEMPT_HEADER = "Resumes"
+# The path at which a server reports on itself. Its `born` is when it started.
+REPORT_PATH = "/v1/report"
 API_KEY_SCHEME = "token "
 MISDIRECTED_REQUEST_STATUS = 421
 
@@ -216,6 +219,24 @@
     return headers
 
 
+def start_request(address):
+    """Return the target and the headers of the question when a server started."""
+    return REPORT_PATH, httputil.HTTPHeaders({"Host": address})
+
+
+def read_start(status, body):
+    """Return when a server started, in Unix milliseconds, or None if it is not stated.
+
+    `status` and `body` are those of its answer to `start_request`.
+    """
+    try:
+        report = orjson.loads(body) if status == 200 else None
+    except orjson.JSONDecodeError:
+        return None
+    born_ms = report.get("born") if isinstance(report, dict) else None
+    return born_ms if type(born_ms) is int else None
+
+
 def read_answer(start_line, headers):
     """Return the decoded head of a backend server's answer.
 
--- a/brasstrail/protocol/dialects.py
+++ b/brasstrail/protocol/dialects.py
@@ -63,6 +63,21 @@
         """
         raise NotImplementedError
 
+    def start_request(self, address):
+        """Return the target and the headers of the question when a server started.
+
+        `address` is that of the backend server, which answers a GET request with them.
+        """
+        raise NotImplementedError
+
+    def read_start(self, status, body):
+        """Return the Unix time in milliseconds at which a server started.
+
+        `status` and `body` are those of its answer to `start_request`. The result is
+        None if it does not state the time.
+        """
+        raise NotImplementedError
+
     def read_answer(self, start_line, headers):
         """Return the `calls.AnswerHead` of a backend server's answer."""
         raise NotImplementedError
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -550,16 +550,29 @@
     version: str = ""
 
 
+@dataclasses.dataclass(frozen=True)
+class ServiceVersion:
+    """A software that servers of a service have or had; it was seen `age_ms` ago."""
+
+    service: str
+    software: str
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class Directory:
     """The changes of the known servers.
 
     `complete` says that `records` holds all servers known to a control host that
-    has received announcements for long enough; other servers are unknown to it.
+    has received announcements for long enough; other servers are unknown to it. A list
+    of all servers also has the versions that the host has seen of each service, and
+    `history_ms`, for how long it has missed none.
     """
 
     complete: bool
     records: tuple[ServerRecord, ...]
+    history_ms: int = 0
+    versions: tuple[ServiceVersion, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -630,6 +643,45 @@
     crashes: tuple[CrashReport, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class StreamOrigin:
+    """Where a stream began; the fields are those of `origins.Origin`.
+
+    `key` is `origins.stream_key`. `age_ms` is how long ago the stream began, `left_ms`
+    how much longer it may be taken up.
+    """
+
+    key: str
+    workspace: str
+    service: str
+    software: str
+    age_ms: int
+    left_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StreamOrigins:
+    """Origins that a gateway tells another one, which is to hold them."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class OriginQuestion:
+    """A gateway asks where a stream began; `number` identifies the question."""
+
+    number: int
+    key: str
+
+
+@dataclasses.dataclass(frozen=True)
+class OriginAnswer:
+    """The answer to a question: the origin, or none if the gateway does not know it."""
+
+    number: int
+    origins: tuple[StreamOrigin, ...]
+
+
 MESSAGES = (
     Offer,
     Withdraw,
@@ -674,6 +726,9 @@
     Directory,
     Gateways,
     GatewayState,
+    StreamOrigins,
+    OriginQuestion,
+    OriginAnswer,
 )
 
 HANDSHAKE_MESSAGES = (Challenge, Hello, Welcome)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -277,6 +277,8 @@
 struct Directory {
   complete @0 :Bool;
   records @1 :List(ServerRecord);
+  historyMs @2 :Int64;
+  versions @3 :List(ServiceVersion);
 }
 
 struct Gateways {
@@ -295,6 +297,20 @@
   crashes @5 :List(CrashReport);
 }
 
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
+struct OriginQuestion {
+  number @0 :Int64;
+  key @1 :Text;
+}
+
+struct OriginAnswer {
+  number @0 :Int64;
+  origins @1 :List(StreamOrigin);
+}
+
 struct Challenge {
   version @0 :Int64;
   nonce @1 :Data;
@@ -544,6 +560,12 @@
   version @10 :Text;
 }
 
+struct ServiceVersion {
+  service @0 :Text;
+  software @1 :Text;
+  ageMs @2 :Int64;
+}
+
 struct ServerShare {
   identity @0 :Text;
   running @1 :Int64;
@@ -569,6 +591,15 @@
   isDisprovedForWorkspace @9 :Bool;
 }
 
+struct StreamOrigin {
+  key @0 :Text;
+  workspace @1 :Text;
+  service @2 :Text;
+  software @3 :Text;
+  ageMs @4 :Int64;
+  leftMs @5 :Int64;
+}
+
 struct Service {
   name @0 :Text;
   kind @1 :Text;
@@ -656,6 +687,9 @@
     directory @40 :Directory;
     gateways @41 :Gateways;
     gatewayState @42 :GatewayState;
+    streamOrigins @43 :StreamOrigins;
+    originQuestion @44 :OriginQuestion;
+    originAnswer @45 :OriginAnswer;
   }
 }
 
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -14,7 +14,7 @@
 
 from tornado import iostream
 
-from brasstrail.coordination import pool
+from brasstrail.coordination import origins, pool
 from brasstrail.core import calls, clock, data, errors
 from brasstrail.roles import admitting, refusals, replies, sending
 
@@ -64,6 +64,7 @@
     software : the `servers.Announcement.software` that began the stream, at which alone
         it may go on; None before an event has been passed on, and empty if it is not
         certain which it was.
+    has_begun : whether an event has been passed on.
     """
 
     def __init__(self, gateway, connection):
@@ -85,6 +86,7 @@
         self.server_ends = []
         self.versions = []
         self.software = None
+        self.has_begun = False
 
     @property
     def identity(self):
@@ -224,21 +226,38 @@
             work, software=self.software, rank=STARTED_ANSWER_RANK
         )
 
-    def begin_stream(self, announcement):
-        """Record that the first event of the stream is passed on.
+    def begin_stream(self, announcement, opened_ms):
+        """Record that the first event of the answer is passed on, and tell others.
 
-        `announcement` is that of the server to which the request was sent.
+        Parameters
+        ----------
+        announcement : that of the server to which the request was sent.
+        opened_ms : when the connection to it was opened.
         """
-        if self.software is not None:
+        if self.has_begun:
             return
-        current = self.gateway.pool.servers.get(announcement.identity)
-        self.software = announcement.software
-        if current and current.announcement.software != self.software:
-            # The server has started again since; it may have made the event before.
-            self.software = ""
+        self.has_begun = True
+        if self.software is None:
+            self.software = announcement.software
+            current = self.gateway.pool.servers.get(announcement.identity)
+            if current and current.announcement.software != self.software:
+                # The server has started again since; it may have made the event before.
+                self.software = origins.UNCERTAIN
+        self.gateway.origins.record(self, announcement, opened_ms)
+
+    async def find_origin(self):
+        """Bind a request that takes a stream up to its service and software."""
+        origin = await self.gateway.origins.find(self)
+        if origin is None:
+            return
+        self.software = origin.software
+        if origin.service != self.admitted.service:
+            self.gateway.budget.record_request(origin.service, self.arrived_ms)
+            self.admitted = dataclasses.replace(self.admitted, service=origin.service)
 
     async def forward(self):
         """Send the request until it is answered; return the outcome to be logged."""
+        await self.find_origin()
         self.gateway.pool.record_arrival(self.work())
         failure = None
         while True:
--- a/brasstrail/roles/framing_test.py
+++ b/brasstrail/roles/framing_test.py
@@ -145,6 +145,7 @@
             self.assertIsNone(body)
 
     async def test_caller_that_resumes_after_the_last_event_gets_an_empty_rest(self):
+        self.list_one_version()
         for framing in FRAMINGS:
             step = scripted.framed(b"", framing)
             status, _, body = await self.call_once(step, "resumed", Last_Event_Id="4")
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -21,6 +21,7 @@
     gossip,
     lease,
     metrics,
+    origins,
     registry,
     subscription,
 )
@@ -123,6 +124,7 @@
         self.subscription = subscription.Subscription(hub, self)
         self.gossip = gossip.Gossip(hub, self)
         self.crashes = crashes.CrashTracker(self)
+        self.origins = origins.OriginTracker(self)
         self.waiters = {}
         self.running = {}
         self.held_bytes = 0
@@ -259,6 +261,7 @@
 
     def apply_directory(self, update):
         """Apply server records; a complete update also removes servers not in it."""
+        self.origins.record_directory(update, self.subscription.last_confirmed_ms)
         for record in update.records:
             self.apply_server_record(record)
         if update.complete:
@@ -280,6 +283,8 @@
         replaced = self.directory.running_starts(announcement)
         self.directory.record_announcement(announcement, clock.now_ms() - record.age_ms)
         known = self.directory.known[record.identity].announcement
+        if known.phase is not servers.ServerPhase.GONE:
+            self.origins.record_server(known)
         self.log.info(
             "gateway: News of a server.",
             server=record.identity,
@@ -318,12 +323,22 @@
                 region = node.regions.get(data_centre, node.region)
                 others.append(gossip.Peer(name, address, data_centre, region))
         self.gossip.set_peers(others)
+        self.origins.set_peers(others)
         now_ms = clock.now_ms()
         self.allotments.set_peers([peer.name for peer in others], now_ms)
         self.budget.set_gateway_count(len(others) + 1, now_ms)
         self.pool.gateway_count = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
+    def apply_peer_start(self, name):
+        """Tell another gateway that has started what it has to know."""
+        self.origins.tell_started_peer(name)
+
+    def apply_peer_message(self, message, address):
+        """Handle a message of another gateway that is not its state."""
+        if type(message) in origins.HANDLERS:
+            self.origins.handle(message, address)
+
     def apply_peer_state(self, message):
         """Apply another gateway's running requests and allotment usage."""
         now_ms = clock.now_ms()
@@ -439,6 +454,7 @@
         self.dispatch_waiting()
         self.gossip.tick()
         self.crashes.tick(now_ms)
+        self.origins.tick(now_ms)
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
@@ -456,6 +472,7 @@
         gauge("gateway_servers", lambda: len(self.pool.servers))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
         self.crashes.register_gauges(gauge)
+        self.origins.register_gauges(gauge)
         metrics.register_bytes_sent_gauges(self.metrics, self.hub)
 
     def lease_age_gauge_ms(self):
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -130,6 +130,12 @@
         self.gateway.directory.known.clear()
         self.gateway.directory.by_address.clear()
 
+    def list_one_version(self):
+        """List one version of the service, since before any stream can have begun."""
+        versions = (messages.ServiceVersion("s", "v1", 0),)
+        listed = messages.Directory(False, (), 10**6, versions)
+        self.gateway.apply_directory(listed)
+
     async def connect(self):
         host, _, port = self.settings.gateway.http_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -532,6 +538,7 @@
         await wait_until(lambda: first.peer_closed_count)
 
     async def test_last_event_id_of_caller_is_forwarded(self):
+        self.list_one_version()
         (server,) = await self.serve([scripted.stream(EVENTS[2:])])
         _, _, body = await self.call("resumed", Last_Event_Id="2")
         self.assertEqual(body, b"".join(EVENTS[2:]))
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -154,7 +154,8 @@
     ----------
     hub : `hub.Hub` of the process.
     gateway : provides `state(number, with_spent)` and receives
-        `apply_peer_state(message)`.
+        `apply_peer_state(message)`, `apply_peer_start(name)` when a gateway is new or
+        has started again, and `apply_peer_message(message, address)` for all others.
 
     Attributes
     ----------
@@ -258,12 +259,16 @@
             )
             return
         if not isinstance(message, messages.GatewayState):
+            self.gateway.apply_peer_message(message, address)
             return
         order = message.incarnation, message.number
-        if order <= self.latest_received.get(message.name, (0, 0)):
+        latest = self.latest_received.get(message.name, (0, 0))
+        if order <= latest:
             return
         self.latest_received[message.name] = order
         self.send_to(targets, payload)
+        if message.incarnation != latest[0]:
+            self.gateway.apply_peer_start(message.name)
         self.gateway.apply_peer_state(message)
 
 
--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -34,6 +34,9 @@
     def apply_peer_state(self, message):
         self.received.append(message.name)
 
+    def apply_peer_start(self, name):
+        """Do nothing."""
+
     def state(self, number, with_spent):
         return messages.GatewayState(self.name, 1, number, (), ())
 
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -94,6 +94,8 @@
     counter("gateway_crashes", "crashes", "Crashes of servers seen here.", "reason"),
     gauge("gateway_crash_records", "crashes", "Crashes of servers that are known."),
     gauge("gateway_held_requests", "requests", "Request contents at their limit."),
+    counter("gateway_origins", "streams", "Streams taken up, by who knew.", "source"),
+    gauge("gateway_streams_known", "streams", "Streams whose beginning is known."),
     gauge("gateway_running", "requests", "Requests under way."),
     gauge("gateway_waiting", "requests", "Requests that wait for a server."),
     gauge("gateway_held_bytes", "bytes", "Bytes of request bodies held in memory."),
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-from brasstrail.coordination import directory
+from brasstrail.coordination import directory, origins
 from brasstrail.core import clock, servers
 from brasstrail.protocol import messages
 
@@ -25,6 +25,8 @@
     Attributes
     ----------
     silent : the identities of servers that have missed several announcements.
+    versions : `origins.VersionHistory` of all services since `complete_since_ms`, from
+        when on this host has always reached a quorum.
     """
 
     def __init__(self, hub, publisher):
@@ -32,7 +34,9 @@
         self.publisher = publisher
         self.directory = directory.Directory(hub.settings.control.announce_interval_ms)
         self.silent = set()
+        self.versions = origins.VersionHistory()
         self.started_ms = clock.now_ms()
+        self.complete_since_ms = self.started_ms
         self.last_shared_ms = 0
         hub.handlers.append(self)
 
@@ -90,6 +94,9 @@
 
     def record_announcement(self, announcement, seen_ms, to_peers):
         """Record an announcement received at `seen_ms`; publish any change."""
+        if announcement.phase is not servers.ServerPhase.GONE:
+            software = announcement.software
+            self.versions.record(announcement.service, software, seen_ms)
         changed = self.directory.record_announcement(announcement, seen_ms)
         if announcement.identity in self.silent and self.has_recovered(announcement):
             self.silent.discard(announcement.identity)
@@ -143,7 +150,15 @@
             if identity in self.silent and record.phase == servers.ServerPhase.READY:
                 record = dataclasses.replace(record, phase=servers.ServerPhase.SILENT)
             records.append(record)
-        return messages.Directory(self.is_complete, tuple(records))
+        versions = tuple(
+            messages.ServiceVersion(service, software, max(0, now_ms - seen_ms))
+            for service, seen in self.versions.last_seen_ms.items()
+            for software, seen_ms in seen.items()
+        )
+        history_ms = max(1, now_ms - self.complete_since_ms)
+        return messages.Directory(
+            self.is_complete, tuple(records), history_ms, versions
+        )
 
     def detect_silent_servers(self, now_ms):
         """Mark servers whose announcements have stopped; report them to gateways."""
@@ -168,6 +183,9 @@
             if known.last_seen_ms > self.last_shared_ms
         ]
         self.last_shared_ms = now_ms
+        if not self.publisher.is_confirmed:
+            self.complete_since_ms = now_ms
+        self.versions.remove_expired(now_ms)
         if recent_records:
             self.publisher.send_to_peers(
                 messages.Directory(False, tuple(recent_records))
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -272,7 +272,8 @@
                     break
                 complete_events = self.reply.event_cutter.feed(chunk)
                 if complete_events:
-                    self.request.begin_stream(self.sent_to)
+                    opened_ms = self.connection.opened_ms
+                    self.request.begin_stream(self.sent_to, opened_ms)
                     await self.reply.write_events(self.head, complete_events)
         except upstream.AnswerIncomplete as error:
             raise refusals.ServerBrokeOff("broken_stream", True) from error
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -135,6 +135,7 @@
     answer : the `Answer` to the last request, or None before the first.
     read_task : the task that reads the answer, or None.
     write_future : completes when the request is written; None before the first.
+    opened_ms : when it was opened.
     idle_until_ms : until when an idle connection may be reused.
     requests_sent : how many requests were sent on the connection.
     """
@@ -145,6 +146,7 @@
         self.answer = None
         self.read_task = None
         self.write_future = None
+        self.opened_ms = clock.now_ms()
         self.idle_until_ms = 0
         self.requests_sent = 0
 
@@ -230,9 +232,7 @@
         or if the remaining idle time is too short. `keep_alive_timeout_s` is how
         long the server keeps an idle connection, or None if it is not known.
         """
-        is_whole = self.answer is not None and self.answer.end is AnswerEnd.WHOLE
-        is_written = self.write_future is not None and self.write_future.done()
-        if not (is_whole and is_written and self.is_open_and_drained()):
+        if not self.is_ready_for_next():
             return False
         idle_timeout_s = (
             DEFAULT_IDLE_TIMEOUT_S
@@ -246,6 +246,12 @@
         self.stream.set_close_callback(self.close)
         return True
 
+    def is_ready_for_next(self):
+        """Return whether a request was answered and another one may be sent."""
+        is_whole = self.answer is not None and self.answer.end is AnswerEnd.WHOLE
+        is_written = self.write_future is not None and self.write_future.done()
+        return is_whole and is_written and self.is_open_and_drained()
+
     def is_open_and_drained(self):
         """Return whether the connection is open and has no unread bytes."""
         # The stream has no public method that returns the size of its buffer.
