Ask a server when it started before a stream goes on there

A server may start again under its identity as another version.

Before the rest of a stream is sent, the server is asked on the same connection when it started; another start than the one announced is left out.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -308,6 +308,7 @@
         for each in replaced:
             if self.directory.is_replaced(each):
                 self.crashes.end_server(each, "server_replaced")
+                self.origins.end_start(each, known)
                 if each.identity != known.identity:
                     self.pool.remove_server(each.identity)
         if is_silent and known.phase is servers.ServerPhase.READY:
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -16,6 +16,9 @@
 # between regions. A lost packet costs a second in any case, which is longer than this
 # time-out.
 CONNECT_TIMEOUT_MS = 400
+# A server answers when it started without waiting for a slot. The time is that of a new
+# connection: a round trip between regions, and a busy host.
+START_TIMEOUT_MS = 400
 MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024
 # An idempotent request fails over to another server if its server sends nothing for
 # this multiple of the route's goal.
@@ -139,6 +142,33 @@
                 raise refusals.NotRun("connect_failed", True) from error
         # The server may have left while the connection was opened.
         self.sent_to = self.announcement()
+        if self.work.software is not None:
+            await self.verify_start()
+
+    async def verify_start(self):
+        """Ask the server on its connection when it started.
+
+        Raises `refusals.NotRun` unless that is the start with the software that the
+        stream needs: it may have started again since it was last heard of.
+        """
+        dialect = self.gateway.dialect
+        target, headers = dialect.start_request(self.sent_to.address)
+        self.connection.send("GET", target, headers, b"")
+        try:
+            reading = self.read_start()
+            born_ms = await asyncio.wait_for(reading, START_TIMEOUT_MS / 1000)
+        except (upstream.AnswerIncomplete, asyncio.TimeoutError) as error:
+            raise refusals.NotRun("start_unknown", True) from error
+        if born_ms is None or not self.connection.is_ready_for_next():
+            raise refusals.NotRun("start_unknown", False)
+        if born_ms != self.sent_to.born_ms:
+            raise refusals.NotRun("server_replaced", False)
+
+    async def read_start(self):
+        """Return when the server says that it started, or None."""
+        start_line, _ = await self.connection.read_head()
+        body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
+        return self.gateway.dialect.read_start(start_line.code, body)
 
     def announcement(self):
         """Return the server's announcement; raise `NotRun` if the server has left."""
