Tell of streams only while their service has several versions

At the size to come a gateway would send and receive 20 KB/s about where streams began, most of the 25 KB/s that control may use, though most services have one version most of the time. While a gateway has seen one version of a service it tells nobody; when it sees another one it tells the holders of all streams that may still be taken up. Until then a stream that its gateway does not know is certainly of the one version, or is refused.

Finding holders no longer walks a whole region's ring where it has fewer data centres than holders (2,391 us for a stream among 1,920 gateways before, 70 us now). Slopes and the capacity page have the costs: 69 us for each stream told, which its first event waits for, 39 us for each one taken, 0.33 KB for each one held, 22 us for each gateway when the list of gateways changes.

versions_test: nobody is told before another version is seen, and holders are then.

--- a/brasstrail/coordination/holders.py
+++ b/brasstrail/coordination/holders.py
@@ -10,7 +10,6 @@
 import bisect
 import dataclasses
 import hashlib
-import itertools
 
 # Positions of each gateway on its ring; they even out how many records each holds.
 POSITIONS_PER_GATEWAY = 8
@@ -38,11 +37,14 @@
     Attributes
     ----------
     rings : sorted (position, `Member`) pairs by region.
+    data_centres : the data centres of each region.
     """
 
     def __init__(self, members):
         self.rings = {}
+        self.data_centres = {}
         for member in members:
+            self.data_centres.setdefault(member.region, set()).add(member.data_centre)
             positions = self.rings.setdefault(member.region, [])
             for number in range(POSITIONS_PER_GATEWAY):
                 positions.append((hash_text(f"{number} {member.name}"), member))
@@ -54,7 +56,8 @@
         positions = self.rings.get(region, [])
         start = bisect.bisect(positions, hash_text(key), key=lambda each: each[0])
         seen = set()
-        for _, member in itertools.chain(positions[start:], positions[:start]):
+        for step in range(len(positions)):
+            _, member = positions[(start + step) % len(positions)]
             if member.name not in seen:
                 seen.add(member.name)
                 yield member
@@ -68,10 +71,18 @@
             else:
                 data_centres.add(member.data_centre)
                 chosen.append(member.name)
-            if len(chosen) == HOLDERS_IN_REGION:
+            if self.is_enough(region, len(chosen), len(others)):
                 break
         return (chosen + others)[:HOLDERS_IN_REGION]
 
+    def is_enough(self, region, chosen, others):
+        """Return whether the holders are found among the gateways visited.
+
+        `chosen` counts the data centres among them, `others` the further gateways.
+        """
+        data_centres = min(HOLDERS_IN_REGION, len(self.data_centres[region]))
+        return chosen >= data_centres and chosen + others >= HOLDERS_IN_REGION
+
     def holders(self, region, key):
         """Return the names of all holders of a record that was made in a region."""
         names = self.holders_in(region, key)
--- a/brasstrail/coordination/origins.py
+++ b/brasstrail/coordination/origins.py
@@ -11,10 +11,12 @@
 import dataclasses
 import hashlib
 import heapq
+import itertools
 
 # Streams in a gateway's table. A full table drops the oldest ones of the workspace that
 # has the most.
 MAX_STREAMS = 16_384
+EVICTED_FRACTION = 1 / 16
 # How long a version that was seen of a service counts as one that may have begun a
 # stream.
 VERSION_MEMORY_MS = 3_600_000
@@ -113,9 +115,11 @@
             del self.keys_by_workspace[origin.workspace]
 
     def evict(self):
-        """Remove the oldest stream of the workspace that has the most."""
+        """Remove the oldest streams of the workspace that has the most."""
         largest = max(self.keys_by_workspace.values(), key=len)
-        self.remove(next(iter(largest)))
+        count = max(1, int(EVICTED_FRACTION * len(largest)))
+        for key in list(itertools.islice(largest, count)):
+            self.remove(key)
 
     def remove_expired(self, now_ms):
         """Remove the streams that can no longer be taken up."""
@@ -144,6 +148,10 @@
         seen = self.last_seen_ms[service]
         seen[software] = max(seen_ms, seen.get(software, seen_ms))
 
+    def has_one_software(self, service):
+        """Return whether one software only has been seen of a service."""
+        return len(self.last_seen_ms.get(service, ())) == 1
+
     def record_list(self, since_ms, last_complete_ms):
         """Record that all servers since a time have been listed.
 
--- a/brasstrail/roles/origins.py
+++ b/brasstrail/roles/origins.py
@@ -32,6 +32,7 @@
 # announcements, and the way to the gateways. Streams that began so shortly before on a
 # new connection may be of either start.
 START_NEWS_MS = 1500
+REFRESH_INTERVAL_MS = 10_000
 # Delay in seconds before a refused caller comes again: soon if an answer or a server
 # may still come, later if that would need an operator.
 SOON_RETRY_S = 1.0
@@ -91,7 +92,9 @@
     peers : `gossip.Peer` of the other gateways by name.
     ring : `holders.HolderRing` of all gateways.
     questions : `Question` by number.
-    recent : the own streams that began lately, as (`Beginning`) in order.
+    recent : the own streams that began lately, as `Beginning`s in order.
+    untold : own streams by key that no other gateway was told of, since their service
+        has had one software only.
     gateway_lost_ms : when a gateway was last missing from the list of gateways, or
     None.
     """
@@ -106,7 +109,9 @@
         self.questions = {}
         self.numbers = itertools.count(1)
         self.recent = collections.deque()
+        self.untold = {}
         self.gateway_lost_ms = None
+        self.next_refresh_ms = 0
 
     @property
     def node(self):
@@ -136,14 +141,33 @@
             now_ms + take_up_ms(request.route),
         )
         key = origins.stream_key(workspace, request.content, request.identity)
+        self.recent.append(Beginning(key, announcement, opened_ms, now_ms))
         self.add(key, origin)
-        beginning = Beginning(key, announcement, opened_ms, now_ms)
-        self.recent.append(beginning)
 
     def add(self, key, origin):
-        """Add an own stream, and tell its holders if that is new."""
-        if self.table.add(key, origin):
-            self.tell(self.holders_of(key), ((key, self.table.by_key[key]),))
+        """Add an own stream, and tell its holders if that is new.
+
+        While a service has one software, only that can have begun a stream, and nobody
+        is told. All that may still be taken up are told of when another one is seen.
+        """
+        if not self.table.add(key, origin):
+            return
+        origin = self.table.by_key[key]
+        if self.versions.has_one_software(origin.service):
+            self.untold[key] = origin
+        else:
+            self.untold.pop(key, None)
+            self.tell(self.holders_of(key), ((key, origin),))
+
+    def tell_untold(self, service):
+        """Tell the holders of a service's streams that were not told of them."""
+        rows = collections.defaultdict(list)
+        for key, origin in list(self.untold.items()):
+            if origin.service == service:
+                del self.untold[key]
+                for name in self.holders_of(key):
+                    rows[name].append((key, origin))
+        self.tell_many(rows)
 
     def end_start(self, ended, current):
         """Make the streams uncertain that may be of either of two starts of a server.
@@ -197,12 +221,16 @@
         now_ms = clock.now_ms()
         streams = collections.defaultdict(list)
         for key, origin in self.table.by_key.items():
-            if origin.expires_ms < now_ms:
+            if origin.expires_ms < now_ms or key in self.untold:
                 continue
             former = former_ring.holders(self.node.region, key)
             for name in self.ring.holders(self.node.region, key):
                 if name in names and name not in former:
                     streams[name].append((key, origin))
+        self.tell_many(streams)
+
+    def tell_many(self, streams):
+        """Send lists of (key, `origins.Origin`) pairs by the name of a gateway."""
         for name, rows in streams.items():
             for at in range(0, len(rows), ORIGINS_PER_DATAGRAM):
                 self.tell((name,), rows[at : at + ORIGINS_PER_DATAGRAM])
@@ -381,18 +409,34 @@
         """
         now_ms = clock.now_ms()
         for each in update.versions:
-            self.versions.record(each.service, each.software, now_ms - each.age_ms)
+            self.record_software(each.service, each.software, now_ms - each.age_ms)
         if update.history_ms:
             self.versions.record_list(now_ms - update.history_ms, last_confirmed_ms)
 
     def record_server(self, announcement):
         """Record that a server runs."""
-        now_ms = clock.now_ms()
-        self.versions.record(announcement.service, announcement.software, now_ms)
+        service, software = announcement.service, announcement.software
+        self.record_software(service, software, clock.now_ms())
+
+    def record_software(self, service, software, seen_ms):
+        """Record that a server of a service had a software."""
+        self.versions.record(service, software, seen_ms)
+        if self.untold and not self.versions.has_one_software(service):
+            self.tell_untold(service)
 
     def tick(self, now_ms):
-        """Remove what has expired."""
+        """Remove what has expired; record the software of the servers that run."""
         self.table.remove_expired(now_ms)
+        if now_ms >= self.next_refresh_ms:
+            self.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS
+            for server in self.gateway.pool.servers.values():
+                self.record_server(server.announcement)
+            self.versions.remove_expired(now_ms)
+        while self.untold:
+            key = next(iter(self.untold))
+            if key in self.table.by_key:
+                break
+            del self.untold[key]
         while self.recent and now_ms - self.recent[0].begun_ms > START_NEWS_MS:
             self.recent.popleft()
 
--- a/brasstrail/roles/versions_test.py
+++ b/brasstrail/roles/versions_test.py
@@ -417,6 +417,18 @@
         await self.assert_goes_on(stream, "g1")
         await self.assert_goes_on(stream, "g2", Resumes="")
 
+    async def test_nobody_is_told_until_another_version_is_seen(self):
+        stream = await self.begin()
+        others = [self.platform.gateways[name] for name in ("g1", "g2", "g3")]
+        self.assertFalse(any(each.origins.table.by_key for each in others))
+        self.platform.add_servers("s", 4, "v2")
+        self.platform.deliver()
+        holders = [each for each in others if each.origins.table.by_key]
+        self.assertGreaterEqual(len(holders), 2)
+        self.platform.add_gateway("g0")
+        await self.assert_goes_on(stream, "g1")
+        self.assertEqual(stream.versions, {"v1"})
+
     async def test_gateway_that_does_not_know_all_servers_does_not_guess(self):
         """Its control host has just started, and the servers before are not known."""
         stream = await self.begin()
--- a/brasstrail/tools/capacity.py
+++ b/brasstrail/tools/capacity.py
@@ -54,6 +54,10 @@
 DATAGRAMS_PER_S = 600
 SERVERS_WITH_WORK = 8
 DATAGRAM_HEADER_BYTES = 28
+# Gateways that are told of a stream, and how long they hold it: for twice the longest
+# time limit on the users' sheets. Every request is taken for a stream.
+STREAM_HOLDERS = 4
+STREAM_TIME_S = 30
 # Server choices for each request: one on arrival, and one more if it has to wait.
 CHOICES_PER_REQUEST = 2
 
@@ -209,6 +213,16 @@
         receiving_us = self.cost("gossip_taken", AGENTS) * DATAGRAMS_PER_S
         choosing_us = self.cost("server_chosen", AGENTS) * self.requests_per_entry
         collection_s = ENTRIES / DATAGRAMS_PER_S
+        streams_per_s = self.requests_per_entry
+        streams_held = streams_per_s * STREAM_TIME_S * (1 + STREAM_HOLDERS)
+        streams_us = streams_per_s * (
+            self.cost("stream_told", ENTRIES)
+            + STREAM_HOLDERS * self.cost("stream_taken", streams_held)
+        )
+        stream_datagram_bytes = self.cost("stream_bytes", 1) + DATAGRAM_HEADER_BYTES
+        streams_kb = (
+            2 * streams_per_s * STREAM_HOLDERS * stream_datagram_bytes / KILOBYTE
+        )
         return [
             core_row(
                 "choosing servers",
@@ -230,6 +244,25 @@
                 datagram_bytes * DATAGRAMS_PER_S / KILOBYTE,
                 "relays in each data centre and region; one transfer of each change",
             ),
+            core_row(
+                "control: where streams began, during roll-outs",
+                f"{streams_per_s:.1f} streams/s, {STREAM_HOLDERS} holders each",
+                streams_us,
+                CONTROL_CORE_SHARE,
+                "holders drawn by a hash; a service with one version tells nothing",
+            ),
+            bandwidth_row(
+                "control: where streams began, during roll-outs",
+                f"{streams_per_s:.1f} streams/s, {STREAM_HOLDERS} holders each",
+                streams_kb,
+                "one datagram for each stream and holder, sent and received",
+            ),
+            memory_row(
+                "streams that may be taken up",
+                f"{streams_held:,.0f} streams, {STREAM_TIME_S} s each",
+                self.cost("stream_memory", streams_held) / KILOBYTE,
+                "entries expire; the table is bounded",
+            ),
             Row(
                 "age of the slot counts",
                 f"{ENTRIES:,} gateways",
--- a/brasstrail/tools/slopes.py
+++ b/brasstrail/tools/slopes.py
@@ -18,7 +18,7 @@
 
 import click
 
-from brasstrail.coordination import admission, pool, scheduler
+from brasstrail.coordination import admission, holders, origins, pool, scheduler
 from brasstrail.core import catalog, data, servers
 from brasstrail.protocol import codec, commands, messages, session
 from brasstrail.settings import settings
@@ -548,6 +548,107 @@
     return cpu_time_us(lambda: gateway_pool.choose(work, (), 0))
 
 
+# Streams that may be taken up. The `stream` measurements are of what gateways tell each
+# other of where streams began.
+
+
+def make_stream_origin(number):
+    """Return a stream's key and origin, as long as those of real streams."""
+    key = origins.stream_key("workspace-1", f"{number:016x}", f"{number:016x}")
+    return key, origins.Origin(f"w{number % 50}", "assist-llm", "v1.2", 0, 30_000)
+
+
+def make_stream_table(size):
+    """Return a table that holds `size` streams."""
+    table = origins.OriginTable()
+    for number in range(size):
+        table.add(*make_stream_origin(number))
+    return table
+
+
+def make_stream_message(size):
+    """Return the message that tells a gateway of `size` streams."""
+    rows = (make_stream_origin(number) for number in range(size))
+    return messages.StreamOrigins(
+        tuple(
+            messages.StreamOrigin(
+                key, origin.workspace, origin.service, origin.software, 20, 29_980
+            )
+            for key, origin in rows
+        )
+    )
+
+
+def make_holder_ring(size):
+    """Return the ring of `size` gateways in two data centres of each of six regions."""
+    return holders.HolderRing(
+        [
+            holders.Member(f"gateway-{each}", f"dc-{each % 12}", f"region-{each % 6}")
+            for each in range(size)
+        ]
+    )
+
+
+@register_measurement("What a gateway tells of streams", "streams", "bytes", (1, 4, 16))
+def stream_bytes(size):
+    return len(codec.encode_packed(codec.MESSAGE, make_stream_message(size)))
+
+
+@register_measurement(
+    "Recording a stream and telling its holders", "gateways", "us", (60, 480, 1920)
+)
+def stream_told(size):
+    """The first event of the stream waits for this."""
+    ring = make_holder_ring(size)
+    table = origins.OriginTable()
+    numbers = iter(range(10**9))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target:
+        target.bind(("127.0.0.1", 0))
+        address = target.getsockname()
+
+        def tell():
+            number = next(numbers)
+            key, origin = make_stream_origin(number)
+            table.add(key, origin)
+            message = make_stream_message(1)
+            payload = codec.encode_packed(codec.MESSAGE, message)
+            for _ in ring.holders("region-1", key):
+                target.sendto(payload, address)
+
+        return cpu_time_us(tell)
+
+
+@register_measurement(
+    "Taking what a gateway tells of a stream", "streams held", "us", (500, 4000, 16000)
+)
+def stream_taken(size):
+    table = make_stream_table(size)
+    numbers = iter(range(size, 10**9))
+    payload = codec.encode_packed(codec.MESSAGE, make_stream_message(1))
+
+    def receive():
+        message = codec.decode_packed(codec.MESSAGE, payload)
+        key, origin = make_stream_origin(next(numbers))
+        table.add(key, origin)
+        table.find(key, len(message.origins))
+        if len(table.by_key) > size:
+            table.remove(next(iter(table.by_key)))
+
+    return cpu_time_us(receive)
+
+
+@register_measurement("A table of streams", "streams held", "KB", (500, 4000, 16000))
+def stream_memory(size):
+    return memory_kb(lambda: make_stream_table(size))
+
+
+@register_measurement(
+    "A change of the list of gateways", "gateways", "us", (60, 480, 1920)
+)
+def holders_changed(size):
+    return cpu_time_us(lambda: make_holder_ring(size))
+
+
 def run_measurement(name):
     """Run a measurement at all its sizes and return the fitted slope."""
     what, size_unit, cost_unit, sizes, function = MEASUREMENTS[name]
