Count the crashes that an entry has seen while its view lags

An entry judges a request by its view, which receives a crash later than the answer that reports it: with views that lag, three of three engines ended each time (test_crashes_count_while_the_view_of_the_entry_lags, red before). And the fake engine answered 500 to the request that crashed it, which is no crash to an agent, so that nothing was recorded of the first two crashes and the next request could go to the third engine.

A fault now says whether the server broke off, and the entry counts such faults for 10 s, in a bounded table, beside its view. The fake closes its connections when it crashes.

--- a/brasstrail/fakes/engine.py
+++ b/brasstrail/fakes/engine.py
@@ -47,6 +47,10 @@
     reports: bool = True
 
 
+class Crashed(Exception):
+    """The engine crashes while it takes a request: its connections are closed."""
+
+
 class Engine:
     """State of a fake engine.
 
@@ -175,7 +179,7 @@
         self.batch = batching.Batch(self.batch.speed)
         for queue in self.streams.values():
             queue.put_nowait(None)
-        raise web.HTTPError(500)
+        raise Crashed()
 
     def load_report(self):
         """Return the load about `LOAD_REPORT_DELAY_S` before the last sample."""
@@ -225,6 +229,9 @@
                 self.set_status(404)
                 return self.write_json({"error": {"message": "no such model"}})
             job = self.engine.submit(json_object, request_id)
+        except Crashed:
+            self.request.connection.stream.close()
+            raise web.Finish() from None
         except (errors.BadRequest, orjson.JSONDecodeError) as error:
             self.set_status(400)
             return self.write_json({"error": {"message": str(error)}})
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -190,13 +190,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
-    """The request ended without a complete answer; `ran` is a `data.RunStatus`."""
+    """The request ended without a complete answer; `ran` is a `data.RunStatus`.
+
+    `has_crashed` says that the server broke off while it ran the request.
+    """
 
     dispatch_id: str
     code: str
     message: str
     remedy: str
     ran: str
+    has_crashed: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -87,6 +87,7 @@
   message @2 :Text;
   remedy @3 :Text;
   ran @4 :Text;
+  hasCrashed @5 :Bool;
 }
 
 struct ServerState {
--- a/brasstrail/roles/daemon_test.py
+++ b/brasstrail/roles/daemon_test.py
@@ -10,20 +10,23 @@
 import hashlib
 import pathlib
 import tempfile
+import unittest.mock
 
 import orjson
 import structlog
 from tornado import httpclient, testing
 
 from brasstrail.fakes import announcer, batching, engine, plain
-from brasstrail.protocol import chat
-from brasstrail.roles import access, daemon
+from brasstrail.protocol import chat, messages
+from brasstrail.roles import access, attachment, daemon
 from brasstrail.settings import settings
 from brasstrail.tools import ports
 
 TEST_TIMEOUT_S = 60
 PORTS = ports.PortAllocator()
 SPEED = batching.Speed(step_ms=1.0, step_ms_per_request=0.0)
+# How late the views of all processes are, longer than the test takes.
+VIEW_LAG_S = 5.0
 CHAT_PATH = "/v1/chat/completions"
 # An answer of so many rounds takes longer than the notice period of a draining
 # entry, `entry.DRAIN_NOTICE_S`.
@@ -641,6 +644,28 @@
         lifted = await cluster.admin("/suspicions", {"fingerprint": fingerprint})
         self.assertEqual(lifted.code, 200)
 
+    @testing.gen_test(timeout=TEST_TIMEOUT_S)
+    async def test_crashes_count_while_the_view_of_the_entry_lags(self):
+        """Guards against a third server that a request crashes.
+
+        The entry of the next request had not received the crashes of the last one.
+        """
+        cluster = await self.start()
+        handle_changes = attachment.HANDLERS[messages.ViewChanges]
+
+        def handle_late(*arguments):
+            self.io_loop.call_later(VIEW_LAG_S, handle_changes, *arguments)
+
+        late = {messages.ViewChanges: handle_late}
+        with unittest.mock.patch.dict(attachment.HANDLERS, late):
+            for name in ("main", "m1", "m2"):
+                cluster.servers[name].faults = engine.Faults(crash_on="poison")
+            for _ in range(3):
+                reply = await cluster.fetch(CHAT_PATH, make_chat("poison"))
+            crashed = [each for each in cluster.servers.values() if each.crashed]
+            self.assertEqual(len(crashed), 2)
+            self.assertEqual(error_of(reply)["code"], "suspect_request")
+
 
 class UnresponsiveServerTest(LocalClusterTest):
     """Tests of servers that accept a request and then send nothing."""
--- a/brasstrail/roles/entry.py
+++ b/brasstrail/roles/entry.py
@@ -13,7 +13,7 @@
 
 from tornado import httpserver, ioloop
 
-from brasstrail.coordination import scheduler, slopes
+from brasstrail.coordination import recentcrashes, scheduler, slopes
 from brasstrail.core import clock, data, errors
 from brasstrail.protocol import commands, messages
 from brasstrail.roles import api, exchange, metrics, web
@@ -87,6 +87,7 @@
         self.metrics = metrics.Metrics()
         self.agents = {}
         self.attempts = {}
+        self.recent_crashes = recentcrashes.RecentCrashes()
         self.exchanges = set()
         self.revokes = {}
         self.decisions = collections.deque(maxlen=MAX_DECISIONS)
@@ -467,6 +468,7 @@
     def clear_suspicion(self, request):
         """Lift the suspicion from a request that was answered whole."""
         fingerprint = request.fingerprint
+        self.recent_crashes.forget(fingerprint)
         if fingerprint in self.attachment.view.suspicions:
             command = commands.LiftSuspicion(fingerprint)
             self.hub.spawn(self.propose_best_effort(command))
--- a/brasstrail/roles/exchange.py
+++ b/brasstrail/roles/exchange.py
@@ -199,8 +199,11 @@
         """Raise `errors.Suspect` if too many servers failed during the request.
 
         The limit is `MAX_CRASHED_SERVERS`, counting servers that the control hosts
-        have recorded and those of this exchange.
+        have recorded and those that this entry has seen crash.
         """
+        self.crashed_agents |= self.entry.recent_crashes.agents(
+            self.request.fingerprint, clock.now_ms()
+        )
         suspicion = self.entry.attachment.view.suspicions.get(self.request.fingerprint)
         if suspicion is not None:
             self.crashed_agents |= set(suspicion.servers)
@@ -223,6 +226,10 @@
         self.ran = data.RunStatus.UNKNOWN
         if fault.code == errors.ServerFailed.code:
             self.crashed_agents.add(attempt.agent)
+        if fault.has_crashed:
+            self.entry.recent_crashes.record(
+                self.request.fingerprint, attempt.agent, clock.now_ms()
+            )
 
     def may_retry(self):
         """Return whether the request may be retried on another server.
--- a/brasstrail/roles/modelrun.py
+++ b/brasstrail/roles/modelrun.py
@@ -67,8 +67,7 @@
         if self.call.status != OK_STATUS:
             return await self.forward_error_answer(b"")
         if not stream_ended:
-            await self.suspect()
-            return self.make_fault("its stream ended before the answer did")
+            return await self.make_crash_fault("its stream ended before the answer did")
         self.send(
             messages.Done(self.dispatch_id, 0, self.work.prompt_tokens, self.tokens)
         )
--- a/brasstrail/roles/runs.py
+++ b/brasstrail/roles/runs.py
@@ -144,10 +144,15 @@
         if not failure.sent:
             self.agent.mark_down()
             return self.make_fault(failure.reason, data.RunStatus.NOT_RUN)
-        if not self.aborted:
-            self.agent.mark_down()
-            await self.suspect()
-        return self.make_fault(failure.reason)
+        if self.aborted:
+            return self.make_fault(failure.reason)
+        self.agent.mark_down()
+        return await self.make_crash_fault(failure.reason)
+
+    async def make_crash_fault(self, reason):
+        """Record the request as suspected of a crash, and return the fault."""
+        await self.suspect()
+        return dataclasses.replace(self.make_fault(reason), has_crashed=True)
 
     async def suspect(self):
         """Commit a record that the server failed while it ran this request.
