Tell a gateway that starts which crashes and completions it would have known

Crashes were passed on at random, a few at a time, so that a started gateway sent on requests that all others held back.

A gateway that hears of a new start of another one now tells it the crashes, those of held contents first, and the latest completions, 256 of each at most; a gateway announces itself to the others as soon as it knows them.

Red before: crashes_test, test_harmless_content_while_gateways_restart_one_after_another and test_started_gateway_knows_at_once_what_is_held_back (60 other contents have crashes).

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -29,6 +29,7 @@
 import collections
 import dataclasses
 import heapq
+import itertools
 import random
 import zlib
 
@@ -82,6 +83,9 @@
 MAX_RECENT_SHARED = 48
 MAX_HELD_SHARED = 2
 MAX_OTHERS_SHARED = 1
+# Crashes, and completions, that a gateway is told when it starts: they fit into a few
+# datagrams.
+MAX_TOLD = 256
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -338,9 +342,30 @@
         for key in ((run.content, run.workspace), (run.content, None)):
             self.completions[key] = now_ms
             self.completions.move_to_end(key)
+        self.drop_old_completions()
+        for crash, evidence in self.by_content.get(run.content, {}).items():
+            self.disprove(crash, evidence, now_ms)
+
+    def drop_old_completions(self):
+        """Drop the oldest completions beyond the bound."""
         while len(self.completions) > MAX_COMPLETIONS:
             self.completions.popitem(last=False)
-        for crash, evidence in self.by_content.get(run.content, {}).items():
+
+    def recent_completions(self):
+        """Return the latest completions as ((content, workspace), completed_ms)."""
+        latest = itertools.islice(reversed(self.completions.items()), MAX_TOLD)
+        return list(latest)
+
+    def add_completion(self, key, completed_ms, now_ms):
+        """Add a completion that another gateway has seen."""
+        if completed_ms <= self.completions.get(key, -1):
+            return
+        self.completions[key] = completed_ms
+        # It is dropped before those of this gateway.
+        self.completions.move_to_end(key, last=False)
+        self.drop_old_completions()
+        content, _ = key
+        for crash, evidence in self.by_content.get(content, {}).items():
             self.disprove(crash, evidence, now_ms)
 
     def break_off(self, run, now_ms, is_confirmed=False):
@@ -503,6 +528,20 @@
             if self.is_shared(crash, now_ms)
         ]
 
+    def latest_records(self, now_ms):
+        """Return the (`Crash`, `Evidence`) pairs that a new gateway has to know.
+
+        Those of contents at their limit come first, then the latest ones.
+        """
+        held = set(self.contents_at_limit(now_ms))
+        records = [
+            (crash, evidence)
+            for crash, evidence in self.all_records()
+            if self.is_shared(crash, now_ms)
+        ]
+        records.sort(key=lambda each: (each[0].content not in held, -each[1].ended_ms))
+        return records[:MAX_TOLD]
+
     def recent_changes(self, now_ms):
         """Return the crashes that this gateway changed lately, the latest first."""
         while self.changes and now_ms - self.changes[0][0] > RECENT_CHANGE_MS:
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -631,6 +631,27 @@
     is_disproved_for_workspace: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class Completion:
+    """A server gave its whole answer to a content, `age_ms` ago.
+
+    It is the last one of a workspace, or of all workspaces if `is_of_all` is set.
+    """
+
+    content: str
+    workspace: str
+    is_of_all: bool
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class CrashHistory:
+    """What a gateway tells one that has just started of crashes and completions."""
+
+    crashes: tuple[CrashReport, ...]
+    completions: tuple[Completion, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewayState:
     """The state that a gateway sends to other gateways, in one datagram.
@@ -733,6 +754,7 @@
     StreamOrigins,
     OriginQuestion,
     OriginAnswer,
+    CrashHistory,
 )
 
 HANDSHAKE_MESSAGES = (Challenge, Hello, Welcome)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -312,6 +312,11 @@
   origins @1 :List(StreamOrigin);
 }
 
+struct CrashHistory {
+  crashes @0 :List(CrashReport);
+  completions @1 :List(Completion);
+}
+
 struct Challenge {
   version @0 :Int64;
   nonce @1 :Data;
@@ -601,6 +606,13 @@
   leftMs @5 :Int64;
 }
 
+struct Completion {
+  content @0 :Text;
+  workspace @1 :Text;
+  isOfAll @2 :Bool;
+  ageMs @3 :Int64;
+}
+
 struct Service {
   name @0 :Text;
   kind @1 :Text;
@@ -691,6 +703,7 @@
     streamOrigins @43 :StreamOrigins;
     originQuestion @44 :OriginQuestion;
     originAnswer @45 :OriginAnswer;
+    crashHistory @46 :CrashHistory;
   }
 }
 
--- a/brasstrail/roles/crashes.py
+++ b/brasstrail/roles/crashes.py
@@ -13,6 +13,7 @@
 # for this long: two of its intervals between announcements.
 SILENCE_MS = 2400
 PURGE_INTERVAL_MS = 1000
+ROWS_PER_DATAGRAM = 64
 REFUSAL_REASON = "suspect_request"
 
 
@@ -104,21 +105,40 @@
     def reports(self):
         """Return the `messages.CrashReport`s to send to the other gateways."""
         now_ms = clock.now_ms()
-        return tuple(
-            messages.CrashReport(
-                crash.content,
-                crash.workspace,
-                crash.server,
-                crash.born_ms,
-                crash.ordinal,
-                max(0, now_ms - evidence.ended_ms),
-                max(0, evidence.ended_ms - evidence.sent_ms),
-                evidence.is_confirmed,
-                evidence.is_disproved,
-                evidence.is_disproved_for_workspace,
+        records = self.suspects.shared_records(now_ms)
+        return tuple(make_report(*each, now_ms) for each in records)
+
+    def tell_started_peer(self, name):
+        """Tell a gateway that has started what it would have known.
+
+        Without completions, contents that many callers send would look as if they had
+        ended the servers at which they ran.
+        """
+        now_ms = clock.now_ms()
+        records = self.suspects.latest_records(now_ms)
+        reports = [make_report(*each, now_ms) for each in records]
+        completions = [
+            messages.Completion(
+                content, workspace or "", workspace is None, now_ms - completed_ms
             )
-            for crash, evidence in self.suspects.shared_records(now_ms)
-        )
+            for (content, workspace), completed_ms in (
+                self.suspects.recent_completions()
+            )
+        ]
+        for at in range(0, max(len(reports), len(completions)), ROWS_PER_DATAGRAM):
+            part = slice(at, at + ROWS_PER_DATAGRAM)
+            history = messages.CrashHistory(
+                tuple(reports[part]), tuple(completions[part])
+            )
+            self.gateway.gossip.send_message((name,), history)
+
+    def handle_history(self, history, name):
+        """Add what another gateway has told this one at its start."""
+        now_ms = clock.now_ms()
+        for each in history.completions:
+            key = each.content, None if each.is_of_all else each.workspace
+            self.suspects.add_completion(key, now_ms - each.age_ms, now_ms)
+        self.merge(name, history.crashes)
 
     def merge(self, name, reports):
         """Add the crashes that another gateway reports."""
@@ -175,3 +195,19 @@
             "gateway_held_requests",
             lambda: len(self.suspects.contents_at_limit(clock.now_ms())),
         )
+
+
+def make_report(crash, evidence, now_ms):
+    """Return the message record of a crash."""
+    return messages.CrashReport(
+        crash.content,
+        crash.workspace,
+        crash.server,
+        crash.born_ms,
+        crash.ordinal,
+        max(0, now_ms - evidence.ended_ms),
+        max(0, evidence.ended_ms - evidence.sent_ms),
+        evidence.is_confirmed,
+        evidence.is_disproved,
+        evidence.is_disproved_for_workspace,
+    )
--- a/brasstrail/roles/crashes_test.py
+++ b/brasstrail/roles/crashes_test.py
@@ -198,6 +198,51 @@
         self.platform.exchange()
         self.assertEqual(await self.repeat("/unsafe/x?end=reset", 6), 1)
 
+    async def test_harmless_content_while_gateways_restart_one_after_another(self):
+        """Guards against a content that is held back as none remembers its answers.
+
+        Many callers send it, so that it has runs on every server that ends.
+        """
+        for name in self.platform.names:
+            reply = await self.platform.call(name, "/unsafe/hot")
+            self.assertEqual(reply.status, 200)
+        for name in self.platform.names:
+            self.platform.add_gateway(name)
+            self.platform.exchange()
+        for number in range(4):
+            name = self.platform.names[number % 3]
+            for server in self.platform.servers:
+                server.gate.clear()
+            before = self.platform.run_count()
+            task, _ = self.platform.begin(name, "/unsafe/hot")
+            while not task.done() and self.platform.run_count() == before:
+                await asyncio.sleep(0)
+            for server in self.platform.servers:
+                server.end()
+                server.gate.set()
+            await self.platform.wait([task])
+            self.restart_servers()
+        for name in self.platform.names:
+            reply = await self.platform.call(name, "/unsafe/hot")
+            self.assertEqual(reply.status, 200)
+
+    async def test_started_gateway_knows_at_once_what_is_held_back(self):
+        """Guards against retries through gateways that have just started."""
+        for number in range(60):
+            await self.platform.call("g0", f"/unsafe/{number}?end=reset")
+            self.restart_servers()
+        target = "/unsafe/x?end=reset"
+        self.assertEqual(await self.repeat(target, MAX_SERVERS_ENDED), 3)
+        for name in self.platform.names:
+            self.platform.add_gateway(name)
+            started = self.platform.gateways[name].gossip
+            started.send(started.own_region)
+            self.platform.deliver()
+            before = self.platform.run_count()
+            reply = await self.platform.call(name, target)
+            self.assertEqual(reply.code, crashes.REFUSAL_REASON)
+            self.assertEqual(self.platform.run_count(), before)
+
     async def test_gateways_hear_nothing_of_servers(self):
         """Without control hosts a broken connection is all that gateways see."""
         self.platform.has_controls = False
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -323,6 +323,9 @@
             if address != node.advertised_address:
                 region = node.regions.get(data_centre, node.region)
                 others.append(gossip.Peer(name, address, data_centre, region))
+        if not self.gossip.peers:
+            # The others tell this gateway what it has to know once they hear of it.
+            self.gossip.send_soon()
         self.gossip.set_peers(others)
         self.origins.set_peers(others)
         now_ms = clock.now_ms()
@@ -332,13 +335,16 @@
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
     def apply_peer_start(self, name):
-        """Tell another gateway that has started what it has to know."""
-        self.origins.tell_started_peer(name)
+        """Tell another gateway that has started what it would have known."""
+        if name in self.gossip.peers:
+            self.origins.tell_started_peer(name)
+            self.crashes.tell_started_peer(name)
 
-    def apply_peer_message(self, message, address):
+    def apply_peer_message(self, message, name):
         """Handle a message of another gateway that is not its state."""
-        if type(message) in origins.HANDLERS:
-            self.origins.handle(message, address)
+        handler = PEER_MESSAGE_HANDLERS.get(type(message))
+        if handler is not None:
+            handler(self, message, name)
 
     def apply_peer_state(self, message):
         """Apply another gateway's running requests and allotment usage."""
@@ -480,3 +486,19 @@
         """Return the age of the lease in milliseconds, or -1 if there was none."""
         age_ms = self.lease.age_ms
         return -1 if age_ms is None else age_ms
+
+
+PEER_MESSAGE_HANDLERS = {
+    messages.StreamOrigins: lambda gateway, message, name: (
+        gateway.origins.handle_origins(message)
+    ),
+    messages.OriginQuestion: lambda gateway, message, name: (
+        gateway.origins.handle_question(message, name)
+    ),
+    messages.OriginAnswer: lambda gateway, message, name: gateway.origins.handle_answer(
+        message, name
+    ),
+    messages.CrashHistory: lambda gateway, message, name: (
+        gateway.crashes.handle_history(message, name)
+    ),
+}
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -155,10 +155,11 @@
     hub : `hub.Hub` of the process.
     gateway : provides `state(number, with_spent)` and receives
         `apply_peer_state(message)`, `apply_peer_start(name)` when a gateway is new or
-        has started again, and `apply_peer_message(message, address)` for all others.
+        has started again, and `apply_peer_message(message, name)` for all others.
 
     Attributes
     ----------
+    peers : `Peer` of the other gateways by name.
     latest_received : the highest (incarnation, number) received, by gateway name.
     number : the sequence number of the state that was last sent.
     """
@@ -167,6 +168,7 @@
         self.hub = hub
         self.gateway = gateway
         self.transport = None
+        self.peers = {}
         self.topology = Topology(hub.settings.node, ())
         self.own_region = TargetGroup(
             lambda: self.topology.own_region_targets(),
@@ -201,6 +203,7 @@
 
     def set_peers(self, peers):
         """Replace the list of the other gateways."""
+        self.peers = {peer.name: peer for peer in peers}
         self.topology = Topology(self.hub.settings.node, peers)
 
     def send_soon(self):
@@ -240,6 +243,17 @@
             return
         self.send_to(group.targets(), payload)
 
+    def send_message(self, names, message):
+        """Send a message to some of the other gateways, in a datagram each."""
+        payload = codec.encode_packed(codec.MESSAGE, message)
+        self.send_to([socket_address(self.peers[name]) for name in names], payload)
+
+    def names_at(self, address):
+        """Return the names of the gateways at an address."""
+        return [
+            name for name, peer in self.peers.items() if socket_address(peer) == address
+        ]
+
     def send_to(self, addresses, payload):
         """Send a datagram to several addresses."""
         for address in addresses:
@@ -259,7 +273,8 @@
             )
             return
         if not isinstance(message, messages.GatewayState):
-            self.gateway.apply_peer_message(message, address)
+            for name in self.names_at(address):
+                self.gateway.apply_peer_message(message, name)
             return
         order = message.incarnation, message.number
         latest = self.latest_received.get(message.name, (0, 0))
--- a/brasstrail/roles/origins.py
+++ b/brasstrail/roles/origins.py
@@ -14,8 +14,8 @@
 
 from brasstrail.coordination import holders, origins
 from brasstrail.core import catalog, clock
-from brasstrail.protocol import codec, messages
-from brasstrail.roles import gossip, refusals
+from brasstrail.protocol import messages
+from brasstrail.roles import refusals
 
 # A stream may be taken up for this multiple of its route's time limit: an attempt may
 # last that long, and its caller may then take it up for as long again.
@@ -89,7 +89,7 @@
 
     Attributes
     ----------
-    peers : `gossip.Peer` of the other gateways by name.
+    peers : the names of the other gateways.
     ring : `holders.HolderRing` of all gateways.
     questions : `Question` by number.
     recent : the own streams that began lately, as `Beginning`s in order.
@@ -104,7 +104,7 @@
         self.log = gateway.log
         self.table = origins.OriginTable()
         self.versions = origins.VersionHistory()
-        self.peers = {}
+        self.peers = frozenset()
         self.ring = holders.HolderRing(())
         self.questions = {}
         self.numbers = itertools.count(1)
@@ -194,11 +194,10 @@
 
     def set_peers(self, peers):
         """Replace the list of the other gateways; tell new holders what they hold."""
-        lost = set(self.peers) - {peer.name for peer in peers}
-        if lost:
+        if self.peers - {peer.name for peer in peers}:
             self.gateway_lost_ms = clock.now_ms()
         former_ring = self.ring
-        self.peers = {peer.name: peer for peer in peers}
+        self.peers = frozenset(peer.name for peer in peers)
         own = holders.Member(
             self.gateway.hub.name, self.node.data_centre, self.node.region
         )
@@ -213,8 +212,7 @@
 
     def tell_started_peer(self, name):
         """Tell a gateway that has started anew the streams that it is to hold."""
-        if name in self.peers:
-            self.tell_holders(holders.HolderRing(()), (name,))
+        self.tell_holders(holders.HolderRing(()), (name,))
 
     def tell_holders(self, former_ring, names):
         """Tell those gateways their streams that a former ring did not give them."""
@@ -245,25 +243,9 @@
         if not names:
             return
         rows = tuple(to_message(key, origin) for key, origin in streams)
-        payload = codec.encode_packed(codec.MESSAGE, messages.StreamOrigins(rows))
-        self.send(names, payload)
-
-    def send(self, names, payload):
-        """Send a datagram to other gateways."""
-        addresses = [gossip.socket_address(self.peers[name]) for name in names]
-        self.gateway.gossip.send_to(addresses, payload)
-
-    def handle(self, message, address):
-        """Handle a message of another gateway."""
-        names = [
-            name
-            for name, peer in self.peers.items()
-            if gossip.socket_address(peer) == address
-        ]
-        for name in names:
-            HANDLERS[type(message)](self, message, name)
-
-    def handle_origins(self, message, name):
+        self.gateway.gossip.send_message(names, messages.StreamOrigins(rows))
+
+    def handle_origins(self, message):
         """Store the origins that this gateway is to hold."""
         for each in message.origins:
             self.table.add(each.key, to_origin(each))
@@ -273,7 +255,7 @@
         origin = self.table.find(message.key, clock.now_ms())
         rows = () if origin is None else (to_message(message.key, origin),)
         answer = messages.OriginAnswer(message.number, rows)
-        self.send((name,), codec.encode_packed(codec.MESSAGE, answer))
+        self.gateway.gossip.send_message((name,), answer)
 
     def handle_answer(self, message, name):
         """Pass an answer on to the request that waits for it."""
@@ -340,15 +322,12 @@
             return Finding(None, "")
         number = next(self.numbers)
         question = self.questions[number] = Question(names)
-        payload = codec.encode_packed(
-            codec.MESSAGE, messages.OriginQuestion(number, key)
-        )
+        message = messages.OriginQuestion(number, key)
         answer = None
         try:
             for _ in range(ANSWER_TIMEOUT_MS // RESEND_INTERVAL_MS):
-                self.send(
-                    [name for name in question.pending if name in self.peers], payload
-                )
+                asked = [each for each in question.pending if each in self.peers]
+                self.gateway.gossip.send_message(asked, message)
                 await asyncio.wait(
                     (question.answer,), timeout=RESEND_INTERVAL_MS / 1000
                 )
@@ -461,11 +440,6 @@
 
 # The sources of an origin that are no names of gateways.
 SOURCES = ("", "own", "one_version")
-HANDLERS = {
-    messages.StreamOrigins: OriginTracker.handle_origins,
-    messages.OriginQuestion: OriginTracker.handle_question,
-    messages.OriginAnswer: OriginTracker.handle_answer,
-}
 
 
 def take_up_ms(route):
