--- a/brasstrail/tools/soakstreams.py
+++ b/brasstrail/tools/soakstreams.py
@@ -52,8 +52,10 @@
         draw = self.load.random
         delay_s = draw.choice(TAKE_UP_DELAYS_S)
         for _ in range(MAX_TAKE_UPS):
+            if time.time() + delay_s > self.deadline_at - MIN_CALL_S:
+                return
             await asyncio.sleep(delay_s)
-            if self.load.stopped or time.time() > self.deadline_at - MIN_CALL_S:
+            if self.load.stopped:
                 return
             count = 2 if draw.random() < DOUBLE_PROBABILITY else 1
             replies = await asyncio.gather(*(self.go_on() for _ in range(count)))
