Keep gateways that are no longer listed for a while

Streams were unknown to gateways that could have asked: control hosts drop a gateway after 3 s and list one that comes back up to a second after its first datagram, which the others ignored as one of a stranger.

A gateway exchanges messages with others for 6 s after they were last listed, and a control host tells the other ones of a new subscriber at once. The number of gateways that share budgets and allotments still follows the list.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -44,6 +44,9 @@
 LISTEN_BACKLOG = 1024
 # Gateways do not detect silent servers themselves; control hosts report them.
 DIRECTORY_INTERVAL_MS = 0
+# A gateway that is no longer listed may come back for this long. It is about twice the
+# time after which control hosts drop one that they have not heard of.
+PEER_RETENTION_MS = 6000
 DEFAULT_HEADER_BYTES = 65_536
 
 
@@ -104,6 +107,8 @@
     waiters : futures of requests that wait for a server, by ticket of the pool.
     running : `forwarding.ForwardedRequest` by task.
     held_bytes : the total size of the bodies of running requests.
+    listed_peers : `gossip.Peer` of the other gateways that control hosts list.
+    peers_seen_ms : when each other gateway was last listed, by its `gossip.Peer`.
     stopping_since_ms : when the gateway began to drain, or None.
     """
 
@@ -130,6 +135,8 @@
         self.held_bytes = 0
         self.stopping_since_ms = None
         self.lease = lease.Lease(self.settings.lease_ms)
+        self.listed_peers = []
+        self.peers_seen_ms = {}
         self.last_sweep_ms = now_ms
         self.http = None
         self.ready_http = None
@@ -326,14 +333,31 @@
         if not self.gossip.peers:
             # The others tell this gateway what it has to know once they hear of it.
             self.gossip.send_soon()
-        self.gossip.set_peers(others)
-        self.origins.set_peers(others)
+        self.listed_peers = others
+        self.update_peers()
         now_ms = clock.now_ms()
         self.allotments.set_peers([peer.name for peer in others], now_ms)
         self.budget.set_gateway_count(len(others) + 1, now_ms)
         self.pool.gateway_count = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
+    def update_peers(self):
+        """Exchange messages with the listed gateways, and with those that left lately.
+
+        Control hosts that have just started list few gateways, and one that starts
+        again is listed later than it sends its first message.
+        """
+        now_ms = clock.now_ms()
+        for peer in self.listed_peers:
+            self.peers_seen_ms[peer] = now_ms
+        for peer, seen_ms in list(self.peers_seen_ms.items()):
+            if now_ms - seen_ms > PEER_RETENTION_MS:
+                del self.peers_seen_ms[peer]
+        peers = list(self.peers_seen_ms)
+        if set(peers) != set(self.gossip.peers.values()):
+            self.gossip.set_peers(peers)
+            self.origins.set_peers(peers)
+
     def apply_peer_start(self, name):
         """Tell another gateway that has started what it would have known."""
         if name in self.gossip.peers:
@@ -465,6 +489,7 @@
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
+            self.update_peers()
 
     def register_gauges(self):
         """Register the gauges of the gateway."""
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -159,6 +159,7 @@
             self.subscribers[link.name] = subscriber
             self.log.info("publisher: A gateway subscribed.", peer=link.name)
             self.publish_gateways()
+            self.share(now_ms)
         subscriber.last_seen_ms = now_ms
         subscriber.version = watch.document_version
         if watch.needs_directory:
--- a/brasstrail/roles/versions_test.py
+++ b/brasstrail/roles/versions_test.py
@@ -13,6 +13,7 @@
 from brasstrail.core import clock
 from brasstrail.fakes import memory
 from brasstrail.protocol import messages
+from brasstrail.roles import gateway as gateways
 from brasstrail.state import documents
 
 STREAM_LENGTH = 7
@@ -453,8 +454,15 @@
         stream = await self.begin()
         for name in self.platform.names:
             self.platform.add_gateway(name)
+        self.platform.cut.add("g0")
         self.platform.list_gateways("g1", ("g1", "g2", "g3"))
         await self.assert_refused(stream, "g1", "unknown_stream")
+        gateway = self.platform.gateways["g1"]
+        for peer in gateway.peers_seen_ms:
+            gateway.peers_seen_ms[peer] -= 2 * gateways.PEER_RETENTION_MS
+        gateway.update_peers()
+        self.assertEqual(gateway.origins.peers, {"g2", "g3"})
+        await self.assert_refused(stream, "g1", "unknown_stream")
 
     async def test_former_version_counts_while_it_may_have_begun_a_stream(self):
         self.platform.servers[0].start("v2")
