--- a/brasstrail/coordination/holders.py
+++ b/brasstrail/coordination/holders.py
@@ -19,8 +19,8 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Member:
-    """A gateway, its data centre and its region."""
+class Candidate:
+    """A gateway that may hold records, its data centre and its region."""
 
     name: str
     data_centre: str
@@ -32,45 +32,47 @@
 
     Parameters
     ----------
-    members : the `Member`s, the own gateway included.
+    candidates : the `Candidate`s, the own gateway included.
 
     Attributes
     ----------
-    rings : sorted (position, `Member`) pairs by region.
+    rings : sorted (position, `Candidate`) pairs by region.
     data_centres : the data centres of each region.
     """
 
-    def __init__(self, members):
+    def __init__(self, candidates):
         self.rings = {}
         self.data_centres = {}
-        for member in members:
-            self.data_centres.setdefault(member.region, set()).add(member.data_centre)
-            positions = self.rings.setdefault(member.region, [])
+        for candidate in candidates:
+            self.data_centres.setdefault(candidate.region, set()).add(
+                candidate.data_centre
+            )
+            positions = self.rings.setdefault(candidate.region, [])
             for number in range(POSITIONS_PER_GATEWAY):
-                positions.append((hash_text(f"{number} {member.name}"), member))
+                positions.append((hash_text(f"{number} {candidate.name}"), candidate))
         for positions in self.rings.values():
             positions.sort(key=lambda each: (each[0], each[1].name))
 
     def walk(self, region, key):
-        """Yield the members of a region in the order of its ring, from a key on."""
+        """Yield the candidates of a region in the order of its ring, from a key on."""
         positions = self.rings.get(region, [])
         start = bisect.bisect(positions, hash_text(key), key=lambda each: each[0])
         seen = set()
         for step in range(len(positions)):
-            _, member = positions[(start + step) % len(positions)]
-            if member.name not in seen:
-                seen.add(member.name)
-                yield member
+            _, candidate = positions[(start + step) % len(positions)]
+            if candidate.name not in seen:
+                seen.add(candidate.name)
+                yield candidate
 
     def holders_in(self, region, key):
         """Return the names of a record's holders in one region, the first one first."""
         chosen, others, data_centres = [], [], set()
-        for member in self.walk(region, key):
-            if member.data_centre in data_centres:
-                others.append(member.name)
+        for candidate in self.walk(region, key):
+            if candidate.data_centre in data_centres:
+                others.append(candidate.name)
             else:
-                data_centres.add(member.data_centre)
-                chosen.append(member.name)
+                data_centres.add(candidate.data_centre)
+                chosen.append(candidate.name)
             if self.is_enough(region, len(chosen), len(others)):
                 break
         return (chosen + others)[:HOLDERS_IN_REGION]
--- a/brasstrail/coordination/holders_test.py
+++ b/brasstrail/coordination/holders_test.py
@@ -13,7 +13,7 @@
 def make_members():
     """Return the gateways of two regions."""
     return [
-        holders.Member(f"{data_centre}{number}", data_centre, region)
+        holders.Candidate(f"{data_centre}{number}", data_centre, region)
         for data_centre, region in PLACES.items()
         for number in range(GATEWAYS_PER_DATA_CENTRE)
     ]
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -44,8 +44,8 @@
 LISTEN_BACKLOG = 1024
 # Gateways do not detect silent servers themselves; control hosts report them.
 DIRECTORY_INTERVAL_MS = 0
-# A gateway that is no longer listed may come back for this long. It is about twice the
-# time after which control hosts drop one that they have not heard of.
+# A gateway that is no longer listed still counts for this long: about twice the time
+# after which control hosts drop one that they have not heard of.
 PEER_RETENTION_MS = 6000
 DEFAULT_HEADER_BYTES = 65_536
 
@@ -107,8 +107,9 @@
     waiters : futures of requests that wait for a server, by ticket of the pool.
     running : `forwarding.ForwardedRequest` by task.
     held_bytes : the total size of the bodies of running requests.
-    listed_peers : `gossip.Peer` of the other gateways that control hosts list.
-    peers_seen_ms : when each other gateway was last listed, by its `gossip.Peer`.
+    unlisted_ms : since when a gateway has not been listed, by its `gossip.Peer`, for
+        those that still count: control hosts that have just started list few, and a
+        gateway that starts again is listed later than it sends its first message.
     stopping_since_ms : when the gateway began to drain, or None.
     """
 
@@ -135,8 +136,7 @@
         self.held_bytes = 0
         self.stopping_since_ms = None
         self.lease = lease.Lease(self.settings.lease_ms)
-        self.listed_peers = []
-        self.peers_seen_ms = {}
+        self.unlisted_ms = {}
         self.last_sweep_ms = now_ms
         self.http = None
         self.ready_http = None
@@ -323,6 +323,7 @@
 
     def apply_gateways(self, update):
         """Update the list of the other gateways."""
+        now_ms = clock.now_ms()
         node = self.hub.settings.node
         rows = zip(update.names, update.addresses, update.data_centres, strict=True)
         others = []
@@ -333,30 +334,28 @@
         if not self.gossip.peers:
             # The others tell this gateway what it has to know once they hear of it.
             self.gossip.send_soon()
-        self.listed_peers = others
-        self.update_peers()
-        now_ms = clock.now_ms()
+        for peer in set(self.gossip.peers.values()) - set(others):
+            self.unlisted_ms.setdefault(peer, now_ms)
+        for peer in others:
+            self.unlisted_ms.pop(peer, None)
+        self.set_peers([*others, *self.unlisted_ms])
         self.allotments.set_peers([peer.name for peer in others], now_ms)
         self.budget.set_gateway_count(len(others) + 1, now_ms)
         self.pool.gateway_count = len(others) + 1
         self.log.info("gateway: The gateways changed.", count=len(others) + 1)
 
-    def update_peers(self):
-        """Exchange messages with the listed gateways, and with those that left lately.
+    def drop_unlisted_peers(self, now_ms):
+        """Drop the gateways that have not been listed for `PEER_RETENTION_MS`."""
+        for peer, since_ms in list(self.unlisted_ms.items()):
+            if now_ms - since_ms > PEER_RETENTION_MS:
+                del self.unlisted_ms[peer]
+                others = set(self.gossip.peers.values()) - {peer}
+                self.set_peers(list(others))
 
-        Control hosts that have just started list few gateways, and one that starts
-        again is listed later than it sends its first message.
-        """
-        now_ms = clock.now_ms()
-        for peer in self.listed_peers:
-            self.peers_seen_ms[peer] = now_ms
-        for peer, seen_ms in list(self.peers_seen_ms.items()):
-            if now_ms - seen_ms > PEER_RETENTION_MS:
-                del self.peers_seen_ms[peer]
-        peers = list(self.peers_seen_ms)
-        if set(peers) != set(self.gossip.peers.values()):
-            self.gossip.set_peers(peers)
-            self.origins.set_peers(peers)
+    def set_peers(self, peers):
+        """Set the other gateways that this one exchanges messages with."""
+        self.gossip.set_peers(peers)
+        self.origins.set_peers(peers)
 
     def apply_peer_start(self, name):
         """Tell another gateway that has started what it would have known."""
@@ -489,7 +488,7 @@
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
-            self.update_peers()
+            self.drop_unlisted_peers(now_ms)
 
     def register_gauges(self):
         """Register the gauges of the gateway."""
--- a/brasstrail/roles/origins.py
+++ b/brasstrail/roles/origins.py
@@ -198,13 +198,13 @@
             self.gateway_lost_ms = clock.now_ms()
         former_ring = self.ring
         self.peers = frozenset(peer.name for peer in peers)
-        own = holders.Member(
+        own = holders.Candidate(
             self.gateway.hub.name, self.node.data_centre, self.node.region
         )
         self.ring = holders.HolderRing(
             [own]
             + [
-                holders.Member(peer.name, peer.data_centre, peer.region)
+                holders.Candidate(peer.name, peer.data_centre, peer.region)
                 for peer in peers
             ]
         )
--- a/brasstrail/roles/versions_test.py
+++ b/brasstrail/roles/versions_test.py
@@ -458,9 +458,8 @@
         self.platform.list_gateways("g1", ("g1", "g2", "g3"))
         await self.assert_refused(stream, "g1", "unknown_stream")
         gateway = self.platform.gateways["g1"]
-        for peer in gateway.peers_seen_ms:
-            gateway.peers_seen_ms[peer] -= 2 * gateways.PEER_RETENTION_MS
-        gateway.update_peers()
+        later_ms = clock.now_ms() + 2 * gateways.PEER_RETENTION_MS
+        gateway.drop_unlisted_peers(later_ms)
         self.assertEqual(gateway.origins.peers, {"g2", "g3"})
         await self.assert_refused(stream, "g1", "unknown_stream")
 
--- a/brasstrail/tools/slopes.py
+++ b/brasstrail/tools/slopes.py
@@ -583,7 +583,9 @@
     """Return the ring of `size` gateways in two data centres of each of six regions."""
     return holders.HolderRing(
         [
-            holders.Member(f"gateway-{each}", f"dc-{each % 12}", f"region-{each % 6}")
+            holders.Candidate(
+                f"gateway-{each}", f"dc-{each % 12}", f"region-{each % 6}"
+            )
             for each in range(size)
         ]
     )
