Test the log of streams that are taken up, unversioned servers, and cut answers

versions_test compares the lines of a taken-up stream by its id: the version, from where it is known and how old that is, the version that servers had to have.

--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -62,7 +62,7 @@
     def start(self, version=None, is_announced=True):
         """Begin a new start, with another version if one is given, and announce it."""
         self.born_ms = next(self.platform.starts)
-        self.version = version or self.version
+        self.version = self.version if version is None else version
         self.is_up = True
         if is_announced:
             self.platform.announce(self, "ready")
--- a/brasstrail/roles/versions_test.py
+++ b/brasstrail/roles/versions_test.py
@@ -64,6 +64,7 @@
 
     def __init__(self, platform, target, key="k"):
         self.platform = platform
+        self.name = target
         self.target = target
         self.key = key
         self.attempts = []
@@ -90,7 +91,7 @@
         if self.events:
             headers.setdefault("Last_Event_Id", str(self.events[-1][0]))
             headers.setdefault("Resumes", self.first)
-        headers.setdefault("X_Attempt_Id", f"a-{id(self)}-{len(self.attempts)}")
+        headers.setdefault("X_Attempt_Id", f"{self.name}-{len(self.attempts)}")
         connection = await self.platform.call(name, self.target, self.key, **headers)
         identity = headers["X_Attempt_Id"]
         self.attempts.append((identity, connection))
@@ -595,14 +596,53 @@
             await self.assert_refused(stream, name, "uncertain_version")
 
     async def test_server_that_states_no_version_is_equal_to_itself_only(self):
+        """No other server continues its streams, whatever that one states."""
         for server in self.platform.servers:
-            server.version = ""
-            self.platform.announce(server, "leaving")
-        self.platform.add_servers("s", 2, "")
-        stream = Stream(self.platform, f"/stream/x?count={STREAM_LENGTH}&leave=3")
-        memory_pattern = b"id: 1\ndata: \n\n"
-        reply = await stream.go_on("g0")
-        self.assertIn(memory_pattern, reply.body)
+            server.start("")
+        self.end_discovery()
+        reply = await self.platform.call("g0", "/stream/x?count=4&break=2")
+        self.assertEqual(reply.body.count(b"id: "), 2)
+        self.assertTrue(reply.is_closed and not reply.is_finished)
+
+
+class LogTest(TakenUpTest):
+    """What the log tells of a stream that is taken up."""
+
+    def find_line(self, identity, event):
+        """Return the log entry of a request with an event."""
+        (line,) = [
+            line
+            for line in self.platform.lines
+            if line.get("id") == identity and line["event"] == event
+        ]
+        return line
+
+    async def test_log_tells_the_version_and_from_where_it_is_known(self):
+        stream = await self.begin("g0")
+        (version,) = stream.versions
+        for name, source in (("g0", "own"), ("g1", "own"), ("g3", "own")):
+            await self.assert_goes_on(stream, name)
+            identity = stream.attempts.pop()[0]
+            line = self.find_line(identity, "origins: A stream is taken up.")
+            self.assertEqual(
+                (line["version"], line["resumes"]), (version, stream.first)
+            )
+            self.assertIn(line["source"], (source, *self.platform.names))
+            self.assertGreaterEqual(line["age_ms"], 0)
+            line = self.find_line(identity, "forwarding: A server was chosen.")
+            self.assertEqual(line["required_version"], version)
+            line = self.find_line(identity, "forwarding: A request ended.")
+            self.assertEqual((line["versions"], line["resume_after"]), (version, "3"))
+            stream.attempts.append((f"{identity}-again", memory.CallerConnection()))
+
+    async def test_log_tells_that_nobody_knows(self):
+        stream = await self.begin("g0")
+        await self.assert_refused(stream, "g1", "unknown_stream", Resumes="other")
+        identity = stream.attempts[-1][0]
+        line = self.find_line(identity, "origins: A stream is taken up.")
+        self.assertEqual(
+            (line["source"], line["asked"], line["unanswered"]), ("", 3, 0)
+        )
 
 
 class NewStreamsTest(VersionCase):
