Log the way of a document and the steps of a start

What could not be told apart by gateway, version and time: when a document was applied at each control host, when it arrived at a gateway, how long it took to decode, and when a request first used it; and after a start the first contact, lease, document, server and answer. One line each.

--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -38,6 +38,7 @@
 def admit(gateway, call, arrived_ms):
     """Return an `AdmittedRequest`; raise `refusals.Refused` if it is not admitted."""
     check_gateway(gateway)
+    gateway.record_use()
     is_catalog_trusted = gateway.lease.is_valid or not gateway.settings.fails_closed
     route = gateway.catalog.find_route(call.host, call.path)
     if route is None:
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -491,6 +491,8 @@
     def record_outcome(self, outcome):
         """Log and count the outcome of the request."""
         gateway = self.gateway
+        if outcome == "answered":
+            gateway.milestones.reach("first_answer", id=self.identity)
         total_ms = clock.now_ms() - self.arrived_ms
         tier = self.admitted.rank[0] if self.admitted else 0
         gateway.log.info(
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -22,6 +22,7 @@
     lease,
     limits,
     metrics,
+    milestones,
     origins,
     registry,
     subscription,
@@ -105,6 +106,7 @@
     Attributes
     ----------
     catalog : `catalog.Catalog` of the newest document, or None before the first one.
+    used_version : the newest document version that a request was admitted with.
     waiters : futures of requests that wait for a server, by ticket of the pool.
     running : `forwarding.ForwardedRequest` by task.
     knows_gateways : whether control hosts have told which gateways there are.
@@ -121,8 +123,10 @@
         self.metrics = process_metrics
         self.settings = hub.settings.gateway
         self.dialect = dialects.create(self.settings.dialect)
+        self.milestones = milestones.Milestones(hub.log)
         self.catalog = None
         self.document_version = 0
+        self.used_version = 0
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
         self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
@@ -217,8 +221,18 @@
         if self.stopping_since_ms is None and self.lease.is_expected:
             await self.lease.wait(limit_ms)
 
+    def record_use(self):
+        """Log the first request that is admitted with each document."""
+        if self.used_version != self.document_version:
+            self.used_version = self.document_version
+            self.log.info(
+                "gateway: A document was first used.", version=self.document_version
+            )
+
     def on_lease_renewed(self):
         """Resume the requests that wait for the lease."""
+        if self.lease.is_valid:
+            self.milestones.reach("first_lease", version=self.document_version)
         if self.catalog is not None and self.lease.is_valid:
             self.lease.wake_waiters()
 
@@ -236,8 +250,15 @@
 
     def apply_document(self, document):
         """Apply a document if it is newer than the current one."""
+        self.log.info(
+            "gateway: A document arrived.",
+            version=document.version,
+            bytes=len(document.packed),
+            held=self.document_version,
+        )
         if document.version <= self.document_version:
             return
+        started_ms = clock.now_ms()
         try:
             decoded = self.dialect.decode_catalog(documents.unpack(document.packed))
         except errors.BrasstrailError as error:
@@ -258,7 +279,9 @@
             version=document.version,
             routes=len(decoded.routes),
             workspaces=len(decoded.workspaces),
+            decode_ms=now_ms - started_ms,
         )
+        self.milestones.reach("first_document", version=document.version)
         self.on_lease_renewed()
         self.dispatch_waiting()
 
@@ -295,6 +318,7 @@
         replaced = self.directory.running_starts(announcement)
         self.directory.record_announcement(announcement, clock.now_ms() - record.age_ms)
         known = self.directory.known[record.identity].announcement
+        self.milestones.reach("first_server", server=record.identity)
         if known.phase is not servers.ServerPhase.GONE:
             self.origins.record_server(known)
         self.log.info(
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -72,6 +72,7 @@
     confirmed_ms : when the last confirmation round that a quorum answered was
         started, or None.
     gateways : the `messages.Gateways` that was last sent, or None.
+    applied_version : the version of the document that was last applied on this host.
     """
 
     def __init__(self, hub, control, process_metrics):
@@ -90,6 +91,7 @@
         self.gateways = None
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
         hub.handlers.append(self)
+        self.applied_version = 0
         control.listeners.append(self.on_document_applied)
 
     def start(self):
@@ -241,6 +243,14 @@
 
     def on_document_applied(self):
         """Send a newly applied document to the gateways at once."""
+        if self.document.version != self.applied_version:
+            self.applied_version = self.document.version
+            self.log.info(
+                "publisher: A document was applied.",
+                version=self.document.version,
+                bytes=len(self.document.packed),
+                index=self.control.machine.index,
+            )
         for subscriber in self.subscribers.values():
             if subscriber.link.connected:
                 self.send_document(subscriber)
--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -79,6 +79,7 @@
 
     def link_up(self, link):
         """Subscribe to a host at once if there is no active link."""
+        self.gateway.milestones.reach("first_contact", peer=link.name)
         if self.active_link is None and link in self.links.values():
             self.subscribe(link)
 
