--- a/brasstrail/roles/replication_test.py
+++ b/brasstrail/roles/replication_test.py
@@ -86,6 +86,36 @@
         self.assertEqual(self.replication.machine.document.version, 100)
 
 
+class LogSizeTest(SnapshotTest):
+    """The log of a replica with the default settings, and large documents."""
+
+    DOCUMENT_BYTES = 100_000
+    CHANGES = 150
+    # A thirtieth of the memory of the users' smallest host, a thirteenth of its disk.
+    MAX_LOG_BYTES = 5_000_000
+
+    # Guards against a log that keeps hundreds of large documents: the memory and disk of a
+    # control host fill up, and a replica without a disk has to be sent them all.
+    async def test_log_is_compacted_by_its_size(self):
+        self.replication.settings = settings.ControlRole(
+            self.replication.settings.data_folder, initial_replicas=("c",)
+        )
+        for version in range(1, self.CHANGES + 1):
+            command = commands.ReplaceDocument(version, bytes(self.DOCUMENT_BYTES))
+            count = len(self.applied)
+            self.replication.propose(codec.encode(codec.COMMAND, command))
+            await self.wait_until(lambda count=count: len(self.applied) > count)
+        await self.wait_until(lambda: self.log_bytes() <= self.MAX_LOG_BYTES)
+        self.assertEqual(self.replication.machine.document.version, self.CHANGES)
+
+    def log_bytes(self):
+        """Return the bytes of the commands in the log."""
+        entries = self.replication.replica.raft.log.entries
+        return sum(len(entry.command) for entry in entries)
+
+    test_failed_snapshot_write_is_retried_while_replica_continues = None
+
+
 class HubTaskTest(unittest.IsolatedAsyncioTestCase):
     """Tasks of the hub that end with an unexpected exception."""
 
