Let heartbeats through while much is sent to a replica

Cause: a leader sent a replica that is behind all entries, up to 256 an append and one append after the other, without waiting for answers. On a slow link the pings of the connection waited behind them for longer than it may be silent (1.4 s). It was closed, the session sent everything again on the next one, and so on: the log showed a connection closed for silence every 2 s. The replica's vote was needed, so no leader lasted.

Now at most 256 KB of entries are under way to a replica, or one entry, and heartbeats go on meanwhile. The time-out of a connection grows with what the peer has to acknowledge, at 200 KB a second and by 10 s at most, and a message that is arriving is a sign of life. What is small times out as before, also in one direction.

--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -31,6 +31,9 @@
 STARTUP_TIMEOUT_MIN_MS = 100
 STARTUP_TIMEOUT_MAX_MS = 300
 MAX_ENTRIES_PER_APPEND = 256
+# Bytes of commands that are under way to a replica. They delay the heartbeats behind
+# them; a link of 15 Mbit/s transmits them in 140 ms. A single entry may be larger.
+MAX_UNDERWAY_BYTES = 256 * 1024
 # Weight of the term in a stamp, so that each stamp of a later term is higher.
 STAMP_TERM_FACTOR = 1 << 32
 
@@ -415,7 +418,7 @@
         progress.match = max(progress.match, reply.match)
         progress.next_index = max(progress.next_index, progress.match + 1)
         self.advance_commit()
-        if progress.next_index <= self.log.last_index:
+        if self.has_entries_for(progress):
             self.send_append(reply.sender)
 
     def receive_snapshot(self, message, now_ms):
@@ -459,7 +462,7 @@
         if previous_index < self.log.snapshot_index:
             self.send_snapshot(identity, progress)
             return
-        entries = self.log.slice(progress.next_index, MAX_ENTRIES_PER_APPEND)
+        entries = self.next_entries(progress)
         message = messages.Append(
             self.identity,
             self.term,
@@ -474,6 +477,31 @@
         progress.next_index += len(entries)
         self.outbox.append(Envelope(identity, message))
 
+    def has_entries_for(self, progress):
+        """Return whether a replica lacks entries that may be sent to it now."""
+        if progress.next_index > self.log.last_index:
+            return False
+        needs_snapshot = progress.next_index <= self.log.snapshot_index
+        return needs_snapshot or bool(self.next_entries(progress))
+
+    def next_entries(self, progress):
+        """Return the entries that may be sent now to the replica of a `Progress`.
+
+        They are few enough that at most `MAX_UNDERWAY_BYTES` are under way, or one
+        entry if nothing else is.
+        """
+        first_index = max(progress.match, self.log.snapshot_index) + 1
+        underway = self.log.slice(first_index, progress.next_index - first_index)
+        underway_bytes = sum(len(entry.command) for entry in underway)
+        entries = []
+        for entry in self.log.slice(progress.next_index, MAX_ENTRIES_PER_APPEND):
+            is_first = not (underway or entries)
+            underway_bytes += len(entry.command)
+            if underway_bytes > MAX_UNDERWAY_BYTES and not is_first:
+                break
+            entries.append(entry)
+        return tuple(entries)
+
     def send_snapshot(self, identity, progress):
         """Send a replica the current snapshot."""
         message = messages.InstallSnapshot(
@@ -578,7 +606,7 @@
         """Send new entries to each replica that was not sent all of them yet."""
         for identity in sorted(self.members() - {self.identity}):
             progress = self.progress_of(identity)
-            if progress.next_index <= self.log.last_index:
+            if self.has_entries_for(progress):
                 self.send_append(identity)
 
     def start_read_round(self):
--- a/brasstrail/protocol/session.py
+++ b/brasstrail/protocol/session.py
@@ -10,6 +10,9 @@
 `is_timed_out` returns true so that the owner closes it. The dialing side then
 connects again, and both sides resend the messages that the other one has not
 acknowledged.
+
+Bytes that were sent before a ping delay it. The time-out is therefore longer while the
+peer has messages to acknowledge, and starts again while parts of a message arrive.
 """
 
 import collections
@@ -22,6 +25,10 @@
 PING_TIMEOUT_MS = 1400
 ACK_INTERVAL_MESSAGES = 32
 MAX_UNACKED_BYTES = 64 * 1024 * 1024
+# A ping waits behind what was sent before it. It may be late by the time in which a
+# slow link, or a part of a shared one, transmits that.
+MIN_RATE_BYTES_PER_MS = 200
+MAX_TRANSMISSION_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,6 +52,7 @@
     unanswered_pings : the time at which each unanswered ping was sent, by number.
     round_trip_ms : the round-trip time of the last answered ping.
     last_answered_ping_ms : when the last ping that was answered was sent.
+    last_part_ms : when a part of a message that is not complete yet arrived.
     """
 
     def __init__(self, max_unacked_bytes=MAX_UNACKED_BYTES):
@@ -58,6 +66,7 @@
         self.outgoing = []
         self.next_ping_ms = 0
         self.last_answered_ping_ms = 0
+        self.last_part_ms = 0
         self.unanswered_pings = {}
         self.ping_number = 0
         self.round_trip_ms = 0
@@ -73,6 +82,7 @@
         self.unanswered_pings = {}
         self.next_ping_ms = now_ms
         self.last_answered_ping_ms = now_ms
+        self.last_part_ms = now_ms
         self.outgoing = [
             frames.Frame(frames.Kind.DATA, message.number, message.payload)
             for message in self.unacked
@@ -165,7 +175,16 @@
 
     def is_timed_out(self, now_ms):
         """Return whether the connection timed out and must be closed."""
-        return self.connected and now_ms - self.last_answered_ping_ms > PING_TIMEOUT_MS
+        transmission_ms = min(
+            MAX_TRANSMISSION_MS, self.unacked_bytes / MIN_RATE_BYTES_PER_MS
+        )
+        last_sign_ms = max(self.last_answered_ping_ms, self.last_part_ms)
+        silence_ms = now_ms - last_sign_ms
+        return self.connected and silence_ms > PING_TIMEOUT_MS + transmission_ms
+
+    def record_part(self, now_ms):
+        """Record that a part of a message arrived that is not complete yet."""
+        self.last_part_ms = now_ms
 
     def take_outgoing(self):
         """Return the queued frames and clear the queue."""
--- a/brasstrail/protocol/session_test.py
+++ b/brasstrail/protocol/session_test.py
@@ -157,6 +157,32 @@
             local.receive(frames.Frame(frames.Kind.PING, number), 300 * number)
         self.assertTrue(local.is_timed_out(session.PING_TIMEOUT_MS + 1))
 
+    # Guards against a connection that is closed because its pings wait behind what it
+    # transmits, so that all of that is sent again and never arrives.
+    def test_pings_may_wait_behind_what_was_sent_before(self):
+        local = session.Session()
+        local.connect(0, 0)
+        local.send(bytes(200_000))
+        local.tick(0)
+        self.assertFalse(local.is_timed_out(session.PING_TIMEOUT_MS + 1))
+        self.assertTrue(local.is_timed_out(session.PING_TIMEOUT_MS + 1001))
+
+    def test_time_for_what_was_sent_is_bounded(self):
+        local = session.Session()
+        local.connect(0, 0)
+        local.send(bytes(10_000_000))
+        local.tick(0)
+        longest_ms = session.PING_TIMEOUT_MS + session.MAX_TRANSMISSION_MS
+        self.assertTrue(local.is_timed_out(longest_ms + 1))
+
+    def test_connection_on_which_parts_of_a_message_arrive_is_not_silent(self):
+        local = session.Session()
+        local.connect(0, 0)
+        local.tick(0)
+        local.record_part(1000)
+        self.assertFalse(local.is_timed_out(session.PING_TIMEOUT_MS + 1))
+        self.assertTrue(local.is_timed_out(1001 + session.PING_TIMEOUT_MS))
+
     def test_late_pong_counts_from_when_its_ping_was_sent(self):
         local = session.Session()
         local.connect(0, 0)
--- a/brasstrail/roles/links.py
+++ b/brasstrail/roles/links.py
@@ -11,6 +11,9 @@
 from brasstrail.transport import frames
 
 READ_CHUNK_BYTES = 65536
+# The parts of a message arrive at shorter intervals than this, or its transmission has
+# stalled: a connection that shares a slow link with many others has its turn in less.
+PART_INTERVAL_MS = 500
 NETWORK_ERRORS = (
     iostream.StreamClosedError,
     iostream.StreamBufferFullError,
@@ -68,6 +71,12 @@
         self.session.send(payload)
         self.schedule_flush()
 
+    @property
+    def is_receiving(self):
+        """Whether a part of a message that is not complete arrived lately."""
+        part_age_ms = clock.now_ms() - self.session.last_part_ms
+        return self.connected and part_age_ms <= PART_INTERVAL_MS
+
     def schedule_flush(self):
         """Flush after the present callback, so that frames are written together."""
         if not self.flush_scheduled:
@@ -130,6 +139,8 @@
             chunk = await stream.read_bytes(READ_CHUNK_BYTES, partial=True)
             for frame in decoder.feed(chunk):
                 self.receive_frame(frame)
+            if decoder.buffer:
+                self.session.record_part(clock.now_ms())
             self.flush()
 
     def receive_frame(self, frame):
--- a/brasstrail/roles/replication_test.py
+++ b/brasstrail/roles/replication_test.py
@@ -94,7 +94,7 @@
     # A thirtieth of the memory of the users' smallest host, a thirteenth of its disk.
     MAX_LOG_BYTES = 5_000_000
 
-    # Guards against a log that keeps hundreds of large documents: the memory and disk of a
+    # Guards against a log that keeps hundreds of large documents: memory and disk of a
     # control host fill up, and a replica without a disk has to be sent them all.
     async def test_log_is_compacted_by_its_size(self):
         self.replication.settings = settings.ControlRole(
