Compact the log by its size, not only by its entries

It is written on the disk thread, as a slow disk would have delayed heartbeats for the time of several syncs.

--- a/brasstrail/coordination/log.py
+++ b/brasstrail/coordination/log.py
@@ -16,6 +16,10 @@
     snapshot : `snapshots.SnapshotFile`, or None for a log that starts at index 1.
     entries : the `messages.Entry` records that follow the snapshot.
     voters : the initial voters, used if there is no snapshot.
+
+    Attributes
+    ----------
+    command_bytes : the bytes of the commands of all entries.
     """
 
     def __init__(self, snapshot=None, entries=(), voters=()):
@@ -25,6 +29,7 @@
         self.snapshot_learners = snapshot.learners if snapshot else ()
         self.snapshot_state = snapshot.state if snapshot else b""
         self.entries = list(entries)
+        self.command_bytes = count_bytes(self.entries)
         self.config_entries = [entry for entry in self.entries if entry.voters]
 
     @property
@@ -87,12 +92,15 @@
     def append(self, entry):
         """Append an entry."""
         self.entries.append(entry)
+        self.command_bytes += len(entry.command)
         if entry.voters:
             self.config_entries.append(entry)
 
     def truncate(self, index):
         """Remove the entry at `index` and all later ones."""
-        del self.entries[max(0, index - self.snapshot_index - 1) :]
+        first = max(0, index - self.snapshot_index - 1)
+        self.command_bytes -= count_bytes(self.entries[first:])
+        del self.entries[first:]
         self.config_entries = [
             entry for entry in self.config_entries if entry.index < index
         ]
@@ -110,7 +118,9 @@
             return
         voters, learners = self.config_at(index)
         term = self.term_at(index)
-        del self.entries[: index - self.snapshot_index]
+        count = index - self.snapshot_index
+        self.command_bytes -= count_bytes(self.entries[:count])
+        del self.entries[:count]
         self.config_entries = [
             entry for entry in self.config_entries if entry.index > index
         ]
@@ -129,9 +139,15 @@
             self.compact(message.index, message.state)
             return
         self.entries = []
+        self.command_bytes = 0
         self.config_entries = []
         self.snapshot_index = message.index
         self.snapshot_term = message.index_term
         self.snapshot_voters = message.voters
         self.snapshot_learners = message.learners
         self.snapshot_state = message.state
+
+
+def count_bytes(entries):
+    """Return the bytes of the commands of some entries."""
+    return sum(len(entry.command) for entry in entries)
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -16,6 +16,11 @@
 TICK_MS = 50
 # Short enough that service resumes soon after space on a full disk is freed.
 DISK_RETRY_S = 0.5
+# A snapshot is taken once the log is larger than this and than a multiple of the last
+# snapshot: memory and disk are bounded, a replica that is behind is sent little, and a
+# large state is not written for each few entries.
+MIN_COMPACTED_BYTES = 1024 * 1024
+COMPACTED_SNAPSHOTS = 2
 PEER_MESSAGES = (
     messages.VoteAsk,
     messages.VoteReply,
@@ -252,6 +257,8 @@
             for envelope in work.ready.outbox:
                 self.send(raft.host_of(envelope.to), envelope.message)
             self.apply(work.ready)
+            if self.is_snapshot_due():
+                await self.take_snapshot()
         for host, message in work.probes:
             self.send(host, message)
         self.log_leadership_change()
@@ -292,11 +299,22 @@
             self.on_applied(entry, self.machine.apply(entry))
         if ready.committed or ready.snapshot is not None:
             self.on_batch(ready.snapshot is not None)
-        if len(self.replica.raft.log.entries) > self.settings.snapshot_every:
-            self.take_snapshot()
 
-    def take_snapshot(self):
-        """Save a snapshot of the state and compact the log up to it."""
+    def is_snapshot_due(self):
+        """Return whether the log is long or large enough for a snapshot."""
+        log = self.replica.raft.log
+        largest_bytes = max(
+            MIN_COMPACTED_BYTES, COMPACTED_SNAPSHOTS * len(log.snapshot_state)
+        )
+        is_large = log.command_bytes > largest_bytes
+        is_long = len(log.entries) > self.settings.snapshot_every
+        return (is_large or is_long) and self.machine.index > log.snapshot_index
+
+    async def take_snapshot(self):
+        """Save a snapshot of the state and compact the log up to it.
+
+        It is written on the disk thread: a slow disk must not delay heartbeats.
+        """
         node = self.replica.raft
         index = self.machine.index
         voters, learners = node.log.config_at(index)
@@ -305,7 +323,9 @@
             index, node.log.term_at(index), voters, learners, state
         )
         try:
-            self.journal.save_snapshot(snapshot)
+            await self.hub.loop.run_in_executor(
+                self.disk, self.journal.save_snapshot, snapshot
+            )
         except errors.DiskFailed as error:
             # The log still holds everything that the snapshot would, so nothing is
             # lost; the next batch of applied entries tries again.
