Send a gateway one document at a time

What callers may see: changes in quick succession that are late or not in force, on a slow link and with large documents.

Cause: a control host sent each gateway every document of a series, and the newest one again with each heartbeat of a gateway that did not have it yet, each 0.4 s. On a link of 15 Mbit/s the newest document waits behind those that it has replaced, the time grows with the series, and a gateway that waits for long changes to another control host, which sends them once more.

Now one document is under way to a gateway. The gateway reports at once what it has read (a field at the end of its heartbeat), and is then sent the newest. The confirmation of a heartbeat follows the document that it refers to, so the lease means what it did. A gateway does not give a control host up while a message from it is arriving, nor right after it was held up itself.

Before: ten documents to a gateway that has reported none; after: one, then the newest.

--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -508,13 +508,15 @@
     `document_version` is the version of the gateway's document. `needs_directory`
     requests all known servers. `address` is the address at which other gateways
     reach this one. The control host first sends the data that the gateway lacks,
-    and then replies with `Current`.
+    and then replies with `Current`. `received_version` is the version of the newest
+    document that has arrived and been read, whether or not it could be applied.
     """
 
     beat_id: int
     document_version: int
     needs_directory: bool
     address: str
+    received_version: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -263,6 +263,7 @@
   documentVersion @1 :Int64;
   needsDirectory @2 :Bool;
   address @3 :Text;
+  receivedVersion @4 :Int64;
 }
 
 struct Current {
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -31,13 +31,18 @@
 APPLY_TIMEOUT_S = 1.0
 APPLY_POLL_S = 0.005
 COMMIT_TIMEOUT_S = 1.5
+# A document that a gateway has not reported for this long no longer holds back newer
+# ones: longer than the slowest links between regions take for one.
+UNDERWAY_TIMEOUT_MS = 10_000
 
 
 @dataclasses.dataclass
 class Subscriber:
     """A gateway that subscribes to this host, or to another one if `link` is None.
 
-    `version` is that of the newest document that the gateway has or was sent.
+    `version` is that of the newest document that the gateway has or was sent, at
+    `sent_ms`. It has read those up to `received_version`. `unanswered` is its newest
+    confirmed heartbeat that must wait for a document, or None.
     """
 
     name: str
@@ -46,6 +51,14 @@
     last_seen_ms: int
     link: object = None
     version: int = 0
+    received_version: int = 0
+    sent_ms: int = 0
+    unanswered: int | None = None
+
+    def is_document_underway(self, now_ms):
+        """Return whether the gateway has yet to read a document that it was sent."""
+        is_recent = now_ms - self.sent_ms <= UNDERWAY_TIMEOUT_MS
+        return self.received_version < self.version and is_recent
 
 
 @dataclasses.dataclass(frozen=True)
@@ -158,12 +171,16 @@
             subscriber = Subscriber(
                 link.name, watch.address, link.data_centre, now_ms, link
             )
+            subscriber.version = watch.document_version
             self.subscribers[link.name] = subscriber
             self.log.info("publisher: A gateway subscribed.", peer=link.name)
             self.publish_gateways()
             self.share(now_ms)
         subscriber.last_seen_ms = now_ms
-        subscriber.version = watch.document_version
+        subscriber.received_version = max(
+            watch.document_version, watch.received_version
+        )
+        self.send_document(subscriber)
         if watch.needs_directory:
             link.send(self.registry.snapshot())
             link.send(self.gateways)
@@ -229,17 +246,27 @@
         link = heartbeat.subscriber.link
         if not link.connected:
             return
+        heartbeat.subscriber.unanswered = heartbeat.number
         self.send_document(heartbeat.subscriber)
-        link.send(messages.Current(heartbeat.number, self.document.version))
 
     def send_document(self, subscriber):
-        """Send a gateway the document if it has an older one."""
-        if subscriber.version >= self.document.version:
-            return
-        subscriber.version = self.document.version
-        subscriber.link.send(
-            messages.Document(self.document.version, self.document.packed)
-        )
+        """Send a gateway the document if it lacks it, and confirm its heartbeat.
+
+        Only one document is under way to a gateway; those that it is replaced by in the
+        meantime are never sent. The confirmation of a heartbeat follows the document.
+        """
+        now_ms = clock.now_ms()
+        if subscriber.version < self.document.version:
+            if subscriber.is_document_underway(now_ms):
+                return
+            subscriber.version = self.document.version
+            subscriber.sent_ms = now_ms
+            subscriber.link.send(
+                messages.Document(self.document.version, self.document.packed)
+            )
+        if subscriber.unanswered is not None:
+            number, subscriber.unanswered = subscriber.unanswered, None
+            subscriber.link.send(messages.Current(number, subscriber.version))
 
     def on_document_applied(self):
         """Send a newly applied document to the gateways at once."""
--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -13,6 +13,9 @@
 from brasstrail.protocol import messages
 
 HEARTBEAT_INTERVAL_MS = 400
+# If the periodic work is later than this, the process itself was held up, and what has
+# arrived meanwhile is read first.
+MAX_TICK_DELAY_MS = 400
 # After three heartbeat intervals without a confirmation the gateway switches to
 # another control host.
 CONFIRMATION_TIMEOUT_MS = 1300
@@ -35,6 +38,10 @@
     needs_directory : whether the next heartbeat requests all known servers.
     unconfirmed_heartbeats : when each was sent, by number (`clock.boot_ms`).
     last_confirmed_ms : when a heartbeat was last confirmed, or None.
+    received_version : the newest document version that was read.
+    awaited : (version, time) of the newest confirmed heartbeat whose document is still
+        being read and of its sending, or None.
+    last_tick_ms : when the periodic work last ran.
     """
 
     def __init__(self, hub, gateway):
@@ -47,6 +54,9 @@
         self.needs_directory = True
         self.unconfirmed_heartbeats = {}
         self.last_confirmed_ms = None
+        self.received_version = 0
+        self.awaited = None
+        self.last_tick_ms = clock.now_ms()
         self.heartbeat_ids = itertools.count(1)
         self.ticker = ioloop.PeriodicCallback(self.tick, HEARTBEAT_INTERVAL_MS)
         hub.handlers.append(self)
@@ -99,7 +109,10 @@
     def tick(self):
         """Send a heartbeat; first switch hosts if the active one does not answer."""
         now_ms = clock.now_ms()
-        if self.has_lost_control_host(now_ms):
+        delay_ms = now_ms - self.last_tick_ms - HEARTBEAT_INTERVAL_MS
+        self.last_tick_ms = now_ms
+        is_held_up = delay_ms > MAX_TICK_DELAY_MS
+        if not is_held_up and self.has_lost_control_host(now_ms):
             self.switch_control_host()
         if self.active_link is not None:
             self.send_heartbeat()
@@ -108,6 +121,8 @@
         """Return whether the active link is down or its host no longer answers."""
         if self.active_link is None or not self.active_link.connected:
             return True
+        if self.active_link.is_receiving:
+            return False
         last_active_ms = max(self.activated_ms, self.last_confirmed_ms or 0)
         return now_ms - last_active_ms > CONFIRMATION_TIMEOUT_MS
 
@@ -160,6 +175,7 @@
                 self.gateway.document_version,
                 self.needs_directory,
                 self.hub.settings.node.advertised_address,
+                self.received_version,
             )
         )
 
@@ -176,16 +192,31 @@
             return
         is_first = self.last_confirmed_ms is None
         self.last_confirmed_ms = clock.now_ms()
-        if current.document_version > self.gateway.document_version:
+        if is_first:
+            self.hub.loop.call_later(1.0, self.switch_to_own_data_centre)
+        self.awaited = current.document_version, sent_ms
+        self.renew_lease()
+
+    def renew_lease(self):
+        """Renew the lease if the document of the confirmed heartbeat is in force."""
+        if self.awaited is None or self.awaited[0] > self.gateway.document_version:
             return
+        _, sent_ms = self.awaited
+        self.awaited = None
         self.gateway.lease.renew(sent_ms)
         self.gateway.on_lease_renewed()
-        if is_first:
-            self.hub.loop.call_later(1.0, self.switch_to_own_data_centre)
 
     def handle_document(self, link, document):
         """Apply a document."""
         self.gateway.apply_document(document)
+        self.report_document(document.version)
+
+    def report_document(self, version):
+        """Report a document that was read at once; there may be a newer one."""
+        self.received_version = max(self.received_version, version)
+        self.renew_lease()
+        if self.active_link is not None:
+            self.send_heartbeat()
 
     def handle_directory(self, link, update):
         """Apply an update of server records."""
