Change routes in the soak, and lose everything at once

The soak's documents changed keys only, so it could see none of the ways in which a route is late, comes back older, is taken though invalid, or is not served, and it lost control hosts but never everything.

--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -197,6 +197,7 @@
             workspace=request_headers.get("X-Tenant-Id", ""),
             after=after,
             has_key="Authorization" in request_headers,
+            service=self.server.options["service"],
         )
         self.is_running = True
         prompt = request_headers.get("X-Prefix-Hash", "")
--- a/brasstrail/fakes/fleetcalls.py
+++ b/brasstrail/fakes/fleetcalls.py
@@ -126,22 +126,22 @@
     }
 
 
-async def put_document(address, document, timeout_s):
+async def put_document(address, document, timeout_s, is_cut=False):
     """Send a configuration document once; return the status.
 
+    `document` is a JSON object, or its text. With `is_cut` its last third is missing.
     The status is 599 if no response was received.
     """
-    return (
-        await send_configuration_request(
-            address, "PUT", orjson.dumps(document), timeout_s
-        )
-    ).code
+    body = document if isinstance(document, bytes) else orjson.dumps(document)
+    if is_cut:
+        body = body[: 2 * len(body) // 3]
+    return (await send_configuration_request(address, "PUT", body, timeout_s)).code
 
 
-async def read_version(address, timeout_s):
-    """Return a control host's document version, or None unless it answers 200."""
+async def read_document(address, timeout_s):
+    """Return the JSON object that a control host answers, or None if it has none."""
     reply = await send_configuration_request(address, "GET", None, timeout_s)
-    return orjson.loads(reply.body)["version"] if reply.code == 200 else None
+    return orjson.loads(reply.body) if reply.code == 200 else None
 
 
 async def send_configuration_request(address, method, body, timeout_s):
@@ -196,10 +196,12 @@
         head = (
             f"{method} /{reply.route}/{events}{reply.query} HTTP/1.1\r\n"
             f"Host: {HOST}\r\n"
-            f"X-Attempt-Id: {reply.identity}\r\nAuthorization: Token {reply.key}\r\n"
+            f"X-Attempt-Id: {reply.identity}\r\n"
             f"X-Deadline-Ms: {int(1000 * deadline_s)}\r\nX-Token-Usage: 200,40\r\n"
             "Content-Length: 0\r\n"
         )
+        if reply.key:
+            head += f"Authorization: Token {reply.key}\r\n"
         if reply.prompt:
             head += f"X-Prefix-Hash: {reply.prompt}\r\n"
         if reply.after:
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -32,6 +32,7 @@
     soakload,
     soakparts,
     soakretries,
+    soakroutes,
     soakstreams,
 )
 
@@ -53,6 +54,8 @@
 # its requests.
 GRACE_S = 8
 MAX_PRINTED_VIOLATIONS = 20
+# The users' link between regions: 15 Mbit/s and 30 ms.
+NARROW_LINK = "[shaping]\nregion_delay_ms = 30.0\nrate_bytes = 1875000\n"
 # Calls come for this long before the first fault.
 CALM_TIME_S = 3.0
 
@@ -61,22 +64,27 @@
 class Options:
     """Options of a run.
 
-    `seconds` is how long faults are injected. Only faults whose name contains one of
-    `fault_filters` are drawn; without filters, all of them.
+    `seconds` is how long faults are injected. Each document has `routes` routes that
+    nobody requests. With `has_narrow_link` one data centre of three is in another
+    region, behind a link of the users' rate and delay. Only faults whose name contains
+    one of `fault_filters` are drawn; without filters, all of them.
     """
 
     seed: int
     seconds: float
     gateways: int
     fault_filters: tuple[str, ...] = ()
+    routes: int = 0
+    has_narrow_link: bool = False
 
 
 class Soak:
     """One run of the soak.
 
     `busy` holds the names of the processes that have a fault now or had one in the last
-    `SETTLE_TIME_S`, `running` is the `cluster.Cluster` once it has been started, and
-    `fatal_parts` the number of parts that end servers now.
+    `SETTLE_TIME_S`, `running` is the `cluster.Cluster` once it has been started,
+    `fatal_parts` the number of parts that end servers now, and `is_reserved` whether no
+    further faults are drawn until one has ended.
 
     Parameters
     ----------
@@ -97,6 +105,7 @@
         self.server_arguments = {}
         self.server_versions = {}
         self.fatal_parts = 0
+        self.is_reserved = False
 
     async def run(self):
         """Run the soak and return (guarantee, details) pairs of all violations."""
@@ -111,7 +120,11 @@
             }
             addresses = [f"127.0.0.1:{ports[each]['document']}" for each in controls]
             self.load = soakload.Load(
-                gateways, addresses, self.options.seed, self.observations
+                gateways,
+                addresses,
+                self.options.seed,
+                self.observations,
+                self.options.routes,
             )
             await self.wait_ready()
             load_tasks = self.load.start()
@@ -135,29 +148,33 @@
         """Return the `NodeSpec`s of the control hosts and gateways."""
         nodes = []
         for number in range(CONTROL_HOST_COUNT):
-            extra = 'document_address = "127.0.0.1:{document}"\nsnapshot_every = 20\n'
-            data_centre = f"dc-{number % 3 + 1}"
-            name = f"c{number}"
-            nodes.append(
-                cluster.NodeSpec(name, ("control",), data_centre, extra_settings=extra)
-            )
+            extra = 'document_address = "127.0.0.1:{document}"\n'
+            if not self.options.has_narrow_link:
+                # Snapshots come often, so that faults meet them.
+                extra += "snapshot_every = 20\n"
+            nodes.append(self.make_node(f"c{number}", "control", number, extra))
         extra = (
             f"grace_s = {GRACE_S}\n"
             f"allotment_slack = {soakload.LIMITED_SLACK_REQUESTS}\n"
         )
         for number in range(self.options.gateways):
-            data_centre = f"dc-{number % 3 + 1}"
-            nodes.append(
-                cluster.NodeSpec(
-                    f"g{number}",
-                    ("gateway",),
-                    data_centre,
-                    extra_settings=extra,
-                    relayed=False,
-                )
-            )
+            nodes.append(self.make_node(f"g{number}", "gateway", number, extra))
         return nodes
 
+    def make_node(self, name, role, number, extra):
+        """Return the `NodeSpec` of a control host or a gateway."""
+        is_far = self.options.has_narrow_link and number % 3 == 2
+        if self.options.has_narrow_link:
+            extra += NARROW_LINK
+        return cluster.NodeSpec(
+            name,
+            (role,),
+            f"dc-{number % 3 + 1}",
+            "region-2" if is_far else "region-1",
+            extra_settings=extra,
+            relayed=role == "control",
+        )
+
     # Backend servers.
 
     async def start_servers(self, controls):
@@ -282,6 +299,9 @@
         ]
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
+            if self.is_reserved:
+                await asyncio.sleep(cluster.POLL_INTERVAL_S)
+                continue
             name = self.random.choice(fault_names)
             task = asyncio.ensure_future(soakfaults.FAULTS[name](self))
             task.fault = name
@@ -376,6 +396,7 @@
         f"{soakparts.count_harmless_shares(soak.observations)}, "
         f"{soaklimits.describe_use(soak.observations)}, "
         f"{soakretries.describe_use(soak.observations)}, "
+        f"{soakroutes.describe(soak.observations)}, "
         f"{len(violations)} violations"
     )
     for guarantee, details in violations[:MAX_PRINTED_VIOLATIONS]:
@@ -393,6 +414,7 @@
         "harmless": str(soakparts.count_harmless_shares(soak.observations)),
         "retries": soakretries.describe_use(soak.observations),
         "limits": soaklimits.describe_use(soak.observations),
+        "routes": soakroutes.describe(soak.observations),
         "peak_memory_mb": max(soak.observations.peak_memory_mb.values(), default=0),
         "wrongly_held_back": len(soakcheck.find_wrong_refusals(soak.observations)),
         "violations": [[guarantee, repr(details)] for guarantee, details in violations],
@@ -417,6 +439,10 @@
 @click.option("--seed", "seeds", type=int, multiple=True, default=(1,))
 @click.option("--seconds", type=float, default=20.0, help="Seconds of fault injection.")
 @click.option("--gateways", type=int, default=4)
+@click.option("--routes", type=int, default=0, help="Further routes a document.")
+@click.option(
+    "--narrow-link", is_flag=True, help="Put one data centre in another region."
+)
 @click.option(
     "--only", multiple=True, help="Inject only faults whose name contains this."
 )
@@ -424,12 +450,12 @@
 @click.option(
     "--out", type=click.Path(), help="Append a JSON row per run to this file."
 )
-def main(seeds, seconds, gateways, only, keep, out):
+def main(seeds, seconds, gateways, routes, narrow_link, only, keep, out):
     """Run the soak test for each seed."""
     daemon.configure_http()
     found = 0
     for seed in seeds:
-        options = Options(seed, seconds, gateways, only)
+        options = Options(seed, seconds, gateways, only, routes, narrow_link)
         soak, violations = run_seed(options, keep)
         show(options, soak, violations)
         if out:
--- a/brasstrail/tools/soakcheck.py
+++ b/brasstrail/tools/soakcheck.py
@@ -28,6 +28,11 @@
 STREAM_ROUTES = ("talk", "tale")
 # The fraction of calls that must succeed once all faults are over.
 MIN_RECOVERED_FRACTION = 0.9
+# The users' bound after a loss of everything: a quarter of what is sent later than this
+# after the return is served. Ours is `MIN_RECOVERED_FRACTION` after a shorter time.
+RECOVERY_LIMIT_S = 12.0
+USERS_RECOVERED_FRACTION = 0.25
+OWN_RECOVERY_LIMIT_S = 5.0
 # The users' bounds on a request that ends its servers: it may reach servers in this
 # many retries sent later than this time after it has ended this many.
 MAX_SERVERS_ENDED = 3
@@ -53,21 +58,27 @@
     """A document that an operator sent, with the keys that it contains.
 
     Times are in seconds since the epoch. `acknowledged_at` is None until a control host
-    has acknowledged the document.
+    has acknowledged the document. `routes` are the services of its changing routes, by
+    name. Two operators may send unlike documents with one version.
     """
 
     version: int
     keys: frozenset
     sent_at: float
     acknowledged_at: float | None
+    routes: dict = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
 class Read:
-    """A document version that an operator read; `sent_at` is when it sent the read."""
+    """A document that an operator read; `sent_at` is when it sent the read.
+
+    `routes` are the names of its changing routes.
+    """
 
     sent_at: float
     version: int
+    routes: frozenset = frozenset()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,7 +103,9 @@
     `documents` are `SentDocument`s, `reads` are `Read`s and `faults` are `Fault`s.
     `allotment` is (workspace, requests per second, burst, slack). `final_version` is
     the document version that was read after all faults, or None. `peak_memory_mb` is
-    the largest memory of each gateway's last process.
+    the largest memory of each gateway's last process. `probes` are `soakroutes.Probe`s,
+    `refused_documents` are `soakroutes.RefusedDocument`s. `returns` are pairs of when
+    all processes ran again after a loss of everything, and when faults may come again.
     """
 
     replies: list = dataclasses.field(default_factory=list)
@@ -104,6 +117,9 @@
     allotment: tuple = ("", 0.0, 0.0, 0.0)
     peak_memory_mb: dict = dataclasses.field(default_factory=dict)
     final_version: int | None = None
+    probes: list = dataclasses.field(default_factory=list)
+    refused_documents: list = dataclasses.field(default_factory=list)
+    returns: list = dataclasses.field(default_factory=list)
 
     def starts_by_request(self):
         """Return the start records of runs by request, each list ordered by time."""
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -9,9 +9,16 @@
 import dataclasses
 import resource
 import signal
+import time
 
 from brasstrail.fakes import fleet, fleetcalls
-from brasstrail.tools import soaklimits, soakload, soakparts, soakstreams
+from brasstrail.tools import (
+    soakcheck,
+    soaklimits,
+    soakload,
+    soakparts,
+    soakstreams,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -332,3 +339,75 @@
 def send_endless_answers(soak, name):
     path = soak.folder / f"{name}.endless"
     return FaultInjection(path.touch, path.unlink)
+
+
+@cluster_fault("send documents in quick succession")
+async def send_storm(soak, kind):
+    soak.fault_counts[kind] += 1
+    await soak.load.send_storm(soak.random.uniform(2.0, 6.0))
+
+
+# How long all processes are gone when everything is lost, over which time they return,
+# and how long no other fault comes after that: until the users' bound can be checked.
+DOWN_S = (0.5, 1.5)
+RETURN_SPREAD_S = 3.0
+QUIET_AFTER_RETURN_S = 15.0
+
+
+@cluster_fault("lose everything, and a disk")
+async def lose_everything(soak, kind):
+    """Kill all processes within 5 to 400 ms of a change; one disk is gone.
+
+    They return at once or one after the other, and one of them may be killed again. The
+    fault waits for all others to end, and no other fault begins before its end.
+    """
+    if soak.is_reserved:
+        return
+    soak.is_reserved = True
+    others = soak.fault_tasks - {asyncio.current_task()}
+    if others:
+        await asyncio.wait(others)
+    soak.fault_counts[kind] += 1
+    names = [*soak.process_names("daemon"), *soak.process_names("server")]
+    soak.busy.update(names)
+    change = asyncio.ensure_future(soak.load.send_next_document())
+    await asyncio.sleep(soak.random.uniform(0.005, 0.4))
+    index, begin_at = len(soak.observations.faults), time.time()
+    soak.observations.faults += [
+        soakcheck.Fault(name, begin_at, float("inf")) for name in names
+    ]
+    for name in names:
+        soak.running.kill(name)
+    soak.running.delete_data_folder(soak.random.choice(soak.process_names("control")))
+    await asyncio.sleep(soak.random.uniform(*DOWN_S))
+    await return_all(soak, names)
+    back_at = time.time()
+    for number, name in enumerate(names, index):
+        soak.observations.faults[number] = soakcheck.Fault(
+            name, begin_at, back_at + soakcheck.CONTACT_LIMIT_S
+        )
+    soak.observations.returns.append((back_at, back_at + QUIET_AFTER_RETURN_S))
+    await asyncio.sleep(QUIET_AFTER_RETURN_S)
+    await change
+    soak.busy.difference_update(names)
+    soak.is_reserved = False
+
+
+async def return_all(soak, names):
+    """Start all processes again, at once or spread over some seconds."""
+    spread_s = soak.random.choice((0.0, RETURN_SPREAD_S))
+    order = soak.random.sample(names, len(names))
+    for name in order:
+        start_process(soak, name)
+        await asyncio.sleep(soak.random.uniform(0.0, 2.0) * spread_s / len(names))
+    if soak.random.random() < 0.3:
+        again = soak.random.choice(soak.process_names("daemon"))
+        await asyncio.sleep(soak.random.uniform(0.1, 1.0))
+        soak.running.kill(again)
+        start_process(soak, again)
+
+
+def start_process(soak, name):
+    """Start a daemon or a backend server."""
+    is_server = name in soak.server_arguments
+    (soak.start_server if is_server else soak.running.start)(name)
--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -1,12 +1,15 @@
 """The load of a soak: callers that send requests and operators that send documents."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 import time
 
+import orjson
+
 from brasstrail.fakes import fleetcalls
-from brasstrail.tools import soakcheck, soakparts, soakstreams
+from brasstrail.tools import soakcheck, soakparts, soakroutes, soakstreams
 
 CALLER_COUNT = 24
 OPERATOR_COUNT = 2
@@ -15,6 +18,8 @@
 ROUTE_WEIGHTS = {"look": 4, "act": 4, "talk": 2, "tale": 3}
 MAX_STREAM_EVENTS = 30
 OPERATOR_TIMEOUT_S = 1.0
+# Operators wait longer for the answers to large documents: so much for each route.
+OPERATOR_TIMEOUT_A_ROUTE_S = 0.003
 # The workspace with an allotment: requests per second, and burst in requests.
 LIMITED_WORKSPACE = "small"
 LIMITED_RATE_PER_S = 10.0
@@ -31,6 +36,12 @@
 OLD_KEY_AGES = range(10, 31)
 # How often an operator sends an earlier document again, as if a change were delayed.
 RESEND_PROBABILITY = 0.25
+# How often two operators send unlike documents with one version, and how often one
+# sends a document that must not come into force.
+RACE_PROBABILITY = 0.15
+REFUSED_PROBABILITY = 0.2
+# Documents that may be sent again.
+MAX_KEPT_DOCUMENTS = 40
 # How often a request that ends its servers is sent again.
 FATAL_INTERVAL_S = 0.5
 # Fraction of the ordinary requests whose content no other request has.
@@ -66,18 +77,23 @@
     controls : addresses of the control hosts for operators' calls.
     seed : seed of the random draws.
     observations : `soakcheck.Observations` to fill.
+    fixed_routes : how many routes each document has that nobody requests.
 
     `number` is that of the last request, `version` that of the last new document.
     """
 
-    def __init__(self, gateways, controls, seed, observations):
+    def __init__(self, gateways, controls, seed, observations, fixed_routes=0):
         self.gateways = gateways
         self.controls = controls
         self.random = random.Random(seed)
         self.observations = observations
         self.number = 0
         self.version = 0
-        self.documents = []
+        self.documents = collections.deque(maxlen=MAX_KEPT_DOCUMENTS)
+        self.plan = soakroutes.RoutePlan(seed, fixed_routes)
+        self.operator_timeout_s = (
+            OPERATOR_TIMEOUT_S + fixed_routes * OPERATOR_TIMEOUT_A_ROUTE_S
+        )
         self.stopped = False
         observations.allotment = (
             LIMITED_WORKSPACE,
@@ -91,6 +107,7 @@
         jobs = [self.run_caller() for _ in range(CALLER_COUNT)]
         jobs.extend(self.run_operator() for _ in range(OPERATOR_COUNT))
         jobs.append(self.run_reader())
+        jobs.append(soakroutes.run_prober(self))
         return [asyncio.ensure_future(job) for job in jobs]
 
     # Callers.
@@ -209,27 +226,48 @@
     async def run_operator(self):
         """Send new documents, and sometimes earlier ones, until the load is stopped."""
         while not self.stopped:
-            await self.send_next_document()
+            if self.random.random() < RACE_PROBABILITY:
+                version = self.next_version()
+                await asyncio.gather(*(self.send_document(version) for _ in range(2)))
+            else:
+                await self.send_next_document()
             if self.random.random() < RESEND_PROBABILITY:
                 await self.resend_document()
+            if self.random.random() < REFUSED_PROBABILITY:
+                await soakroutes.send_refused_document(self)
             await asyncio.sleep(self.random.uniform(0.3, 2.5))
 
     async def resend_document(self):
         """Send an earlier document again; the newest one must stay in force."""
         document = self.random.choice(self.documents)
         host = self.random.choice(self.controls)
-        await fleetcalls.put_document(host, document, OPERATOR_TIMEOUT_S)
+        await fleetcalls.put_document(host, document, self.operator_timeout_s)
+
+    async def send_storm(self, seconds):
+        """Send a document each 0.1 s, without waiting for what becomes of the last."""
+        end = time.monotonic() + seconds
+        sending = []
+        while time.monotonic() < end and not self.stopped:
+            sending.append(asyncio.ensure_future(self.send_next_document()))
+            await asyncio.sleep(soakroutes.STORM_INTERVAL_S)
+        await asyncio.wait(sending)
+
+    def next_version(self):
+        """Return a version that is higher than all before it."""
+        self.version += self.random.randint(1, 3)
+        return self.version
 
     async def send_next_document(self):
-        """Send the next document until it is acknowledged, at most 12 times.
+        """Send the next document; return whether it was acknowledged."""
+        return await self.send_document(self.next_version())
+
+    def make_workspaces(self, version):
+        """Return the workspaces of a document.
 
-        Return whether it was acknowledged. The workspace "changing" holds the keys that
-        come and go.
+        The workspace "changing" holds the keys that come and go.
         """
-        self.version += self.random.randint(1, 3)
-        version = self.version
         held = [f"key-{version - age}" for age in range(EARLIER_KEYS_IN_FORCE + 1)]
-        workspaces = (
+        return (
             fleetcalls.Workspace("steady", ("key-steady",)),
             fleetcalls.Workspace(
                 LIMITED_WORKSPACE,
@@ -239,20 +277,32 @@
             ),
             fleetcalls.Workspace("changing", tuple(held)),
         )
-        document = fleetcalls.make_document(version, workspaces)
-        self.documents.append(document)
+
+    def make_document(self, version):
+        """Return a document without changing routes."""
+        return fleetcalls.make_document(version, self.make_workspaces(version))
+
+    async def send_document(self, version):
+        """Send a new document until it is acknowledged, at most 12 times.
+
+        Return whether it was acknowledged.
+        """
+        document = self.make_document(version)
+        routes = self.plan.add_routes(document)
+        body = orjson.dumps(document)
+        self.documents.append(body)
+        workspaces = self.make_workspaces(version)
         keys = frozenset(key for each in workspaces for key in each.keys)
-        sent_at = time.time()
         index = len(self.observations.documents)
-        self.observations.documents.append(
-            soakcheck.SentDocument(version, keys, sent_at, None)
-        )
+        sent = soakcheck.SentDocument(version, keys, time.time(), None, routes)
+        self.observations.documents.append(sent)
         for _ in range(12):
             host = self.random.choice(self.controls)
-            status = await fleetcalls.put_document(host, document, OPERATOR_TIMEOUT_S)
+            status = await fleetcalls.put_document(host, body, self.operator_timeout_s)
             if status == 200:
-                sent = soakcheck.SentDocument(version, keys, sent_at, time.time())
-                self.observations.documents[index] = sent
+                self.observations.documents[index] = dataclasses.replace(
+                    sent, acknowledged_at=time.time()
+                )
                 return True
             await asyncio.sleep(0.2)
         return False
@@ -267,7 +317,10 @@
         """Return the newest version read from a random control host, or None."""
         sent_at = time.time()
         host = self.random.choice(self.controls)
-        version = await fleetcalls.read_version(host, OPERATOR_TIMEOUT_S)
-        if version is not None:
-            self.observations.reads.append(soakcheck.Read(sent_at, version))
+        document = await fleetcalls.read_document(host, self.operator_timeout_s)
+        if document is None:
+            return None
+        names = frozenset(each["name"] for each in document["routes"])
+        version = document["version"]
+        self.observations.reads.append(soakcheck.Read(sent_at, version, names))
         return version
