Refuse documents without routes or services

What operators may see: a document that lacks its routes, as one that was made from an incomplete copy, was acknowledged and took all routes away; one with a version beyond 64 bits was answered with an internal error. Found by the soak's new invalid documents, and by reading what the decoder takes for absent.

Cause: a missing list counted as an empty one. Routes and services must now be there; an empty list still means none.

--- a/brasstrail/platform/documents.py
+++ b/brasstrail/platform/documents.py
@@ -34,6 +34,8 @@
 MIN_EVENT_TIMEOUT_MS = 2000.0
 EVENT_TIMEOUT_GOALS = 4.0
 EVENT_TIMEOUT_PAUSES = 8.0
+# The largest integer that messages between processes hold.
+MAX_INTEGER = 2**63 - 1
 # Routes that are decoded in about 3 ms.
 ROUTES_PER_STEP = 100
 REMEDY = "Correct what is named and send it again."
@@ -83,6 +85,9 @@
         """Decode a parsed document in steps; raise `InvalidDocument` if invalid."""
         if not isinstance(document, dict):
             raise InvalidDocument("the document is no object")
+        for name in ("routes", "services"):
+            if document.get(name) is None:
+                raise InvalidDocument(f"{name} is missing")
         services = tuple(
             decode_service(each) for each in get_objects(document, "services")
         )
@@ -326,8 +331,8 @@
 def get_non_negative_integer(json_object, name):
     """Return the integer of at least 0 in a field; raise `InvalidDocument` if none."""
     value = json_object.get(name)
-    if type(value) is not int or value < 0:
-        raise InvalidDocument(f"{name} is no whole number")
+    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+        raise InvalidDocument(f"{name} is no whole number of at least 0 in 64 bits")
     return value
 
 
--- a/brasstrail/platform/platform_test.py
+++ b/brasstrail/platform/platform_test.py
@@ -89,6 +89,9 @@
             tenants=[{"name": "w", "api_keys": ["k"]}, {"name": "v", "api_keys": ["k"]}]
         )
     ),
+    "no routes": orjson.dumps(make_document(routes=None)),
+    "no services": orjson.dumps(make_document(services=None)),
+    "a version that is too large": orjson.dumps(make_document(version=2**63)),
     "routes are not a list": orjson.dumps(make_document(routes={"a": 1})),
     "unknown type": orjson.dumps(make_document(routes=[make_route(type="x")])),
 }
