--- a/brasstrail/tools/soakroutes.py
+++ b/brasstrail/tools/soakroutes.py
@@ -16,7 +16,7 @@
 import random
 import time
 
-from brasstrail.fakes import fleetcalls
+from brasstrail.fakes import fleetcalls, fleetdocuments
 from brasstrail.tools import soakcheck
 
 SERVICES = (fleetcalls.PLAIN_SERVICE, fleetcalls.ENGINE_SERVICE)
@@ -62,19 +62,12 @@
         ]
 
     def make_route(self, name, services):
-        """Return the JSON object of a route."""
-        return {
-            "name": name,
-            "host": fleetcalls.HOST,
-            "path_prefix": f"/{name}/",
-            "type": "idempotent",
-            "timeout_ms": self.random.randint(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS),
-            "goal_ms": 1000,
-            "priority": 1,
-            "split": [{"service": each, "weight": 1} for each in services],
-            "max_attempts": 2,
-            "public": True,
-        }
+        """Return the JSON object of a route with a drawn time-out."""
+        return fleetdocuments.make_route(name, services, self.draw_timeout_ms())
+
+    def draw_timeout_ms(self):
+        """Return the time-out of a route in milliseconds."""
+        return self.random.randint(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
 
     def change(self):
         """Change the routes for the next document; return the name of its stamp."""
@@ -98,7 +91,7 @@
         stamp = self.change()
         routes = {**self.routes, stamp: SERVICES[:1]}
         for route in self.random.sample(self.fixed, min(3, len(self.fixed))):
-            route["timeout_ms"] = self.random.randint(MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
+            fleetdocuments.set_timeout(route, self.draw_timeout_ms())
         document["routes"] += [
             self.make_route(name, services) for name, services in routes.items()
         ]
@@ -106,52 +99,6 @@
         return routes
 
 
-# Invalid documents.
-
-INVALID = {}
-
-
-def invalid(name):
-    """Return a decorator that registers a function which makes a document invalid."""
-
-    def register(function):
-        INVALID[name] = function
-        return function
-
-    return register
-
-
-@invalid("unknown service")
-def name_unknown_service(document):
-    document["routes"][-1]["split"] = [{"service": "nowhere", "weight": 1}]
-
-
-@invalid("same host and prefix")
-def repeat_place(document):
-    document["routes"].append({**document["routes"][-1], "name": "again"})
-
-
-@invalid("weights of 0")
-def clear_weights(document):
-    for split in document["routes"][-1]["split"]:
-        split["weight"] = 0
-
-
-@invalid("time-out of 0")
-def clear_timeout(document):
-    document["routes"][-1]["timeout_ms"] = 0
-
-
-@invalid("shared key")
-def share_key(document):
-    document["tenants"].append({"name": "other", "api_keys": ["key-steady"]})
-
-
-@invalid("no routes")
-def leave_routes_out(document):
-    del document["routes"]
-
-
 @dataclasses.dataclass
 class RefusedDocument:
     """A document that must not come into force.
@@ -169,7 +116,9 @@
 
 async def send_refused_document(load):
     """Send a document that must not come into force, of a drawn kind."""
-    kind = load.random.choice((*INVALID, "cut short", "old version", "same version"))
+    kind = load.random.choice(
+        (*fleetdocuments.INVALID, "cut short", "old version", "same version")
+    )
     acknowledged = [
         each.version for each in load.observations.documents if each.acknowledged_at
     ]
@@ -182,8 +131,8 @@
     load.plan.count += 1
     name = f"refused-{load.plan.count}"
     document["routes"].append(load.plan.make_route(name, SERVICES[:1]))
-    if kind in INVALID:
-        INVALID[kind](document)
+    if kind in fleetdocuments.INVALID:
+        fleetdocuments.INVALID[kind](document)
     refused = RefusedDocument(kind, name, kind not in ("old version", "same version"))
     load.observations.refused_documents.append(refused)
     for host in load.random.sample(load.controls, 2):
--- a/brasstrail/tools/soakroutes_test.py
+++ b/brasstrail/tools/soakroutes_test.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from brasstrail.fakes import fleetcalls
+from brasstrail.fakes import fleetcalls, fleetdocuments
 from brasstrail.platform import documents
 from brasstrail.tools import soakcheck, soakroutes
 
@@ -137,7 +137,7 @@
 
     def test_each_invalid_document_is_refused(self):
         plan = soakroutes.RoutePlan(1, 20)
-        for name, make_invalid in soakroutes.INVALID.items():
+        for name, make_invalid in fleetdocuments.INVALID.items():
             workspace = fleetcalls.Workspace("steady", ("key-steady",))
             document = fleetcalls.make_document(1, (workspace,))
             plan.add_routes(document)
