--- a/brasstrail/fakes/fleetdocuments.py
+++ b/brasstrail/fakes/fleetdocuments.py
@@ -24,7 +24,7 @@
     route["timeout_ms"] = timeout_ms
 
 
-# Functions that make a document invalid, by name. Its last route is one of `make_route`.
+# Functions that make a document invalid, by name. Its last route is a `make_route`.
 INVALID = {}
 
 
