--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -48,6 +48,10 @@
 
     `version` is that of its software. `limit` is the limit that it names in its
     answers, as text, or None. `arrivals` are the times at which requests came.
+    While `rest` is a text the server turns requests away and asks for that much rest;
+    the items of `rests` are used up first. `asked` holds (gateway, time, seconds) of
+    each answer that asked for rest, `visits` (gateway, time) of each request. While
+    `says_leaving` the server says so in each answer.
     """
 
     def __init__(self, platform, identity, service, version):
@@ -61,6 +65,11 @@
         self.runs = []
         self.limit = None
         self.arrivals = []
+        self.rest = None
+        self.rests = []
+        self.asked = []
+        self.visits = []
+        self.says_leaving = False
         self.connections = set()
         self.gate = asyncio.Event()
         self.gate.set()
@@ -86,9 +95,11 @@
     `framing` is the `upstream.Framing` of its answers.
     """
 
-    def __init__(self, server):
+    def __init__(self, server, gateway=""):
         self.server = server
+        self.gateway = gateway
         self.address = server.address
+        self.on_interim = None
         self.attempt_id = ""
         self.chunks = asyncio.Queue()
         self.runner = None
@@ -126,6 +137,16 @@
         if not server.is_up:
             return self.break_off()
         server.arrivals.append(clock.now_ms())
+        server.visits.append((self.gateway, clock.now_ms()))
+        if server.says_leaving and "interim" in target:
+            headers = httputil.HTTPHeaders({"Server-Leaving": "1"})
+            start_line = httputil.ResponseStartLine("HTTP/1.1", 103, "")
+            if self.on_interim is not None:
+                self.on_interim(start_line, headers)
+            return self.break_off()
+        rest = server.rests.pop(0) if server.rests else server.rest
+        if rest is not None:
+            return self.ask_for_rest(rest)
         expected = headers.get("X-Expected-Instance", server.identity)
         if expected != server.identity:
             self.send_head(421)
@@ -158,10 +179,24 @@
             self.chunks.put_nowait(event)
         self.finish()
 
-    def send_head(self, status):
-        """Send the head of an answer."""
+    def ask_for_rest(self, rest):
+        """Turn the request away; `rest` holds the times, one a line."""
+        texts = rest.split("\n")
+        seconds = max((float(each) for each in texts if is_time(each)), default=0.0)
+        self.server.asked.append((self.gateway, clock.now_ms(), seconds))
+        self.send_head(
+            503, [("X-Not-Executed", "1")] + [("Retry-After", each) for each in texts]
+        )
+        self.finish()
+
+    def send_head(self, status, more=()):
+        """Send the head of an answer, with more headers."""
         self.head_sent = True
         headers = httputil.HTTPHeaders({"X-Attempt-Id": self.attempt_id})
+        for name, value in more:
+            headers.add(name, value)
+        if self.server.says_leaving:
+            headers["Server-Leaving"] = "1"
         headers["X-Server-Signature"] = self.server.identity
         headers["Connection"] = "close"
         if self.server.limit is not None:
@@ -215,6 +250,11 @@
             self.runner.cancel()
 
 
+def is_time(text):
+    """Return whether a text is a number of seconds."""
+    return text.replace(".", "", 1).isdigit()
+
+
 ENDINGS = {}
 
 
@@ -298,8 +338,9 @@
 class ServerConnections:
     """The connections of a gateway; the interface is `upstream.ConnectionPool`'s."""
 
-    def __init__(self, platform):
+    def __init__(self, platform, gateway):
         self.platform = platform
+        self.gateway = gateway
         self.opened_count = 0
 
     def take_idle(self, address, identity):
@@ -310,7 +351,7 @@
         server = self.platform.by_address[address]
         if not server.is_up:
             raise upstream.ConnectRefused("refused")
-        return Connection(server)
+        return Connection(server, self.gateway)
 
     def release(self, connection, identity, keep_alive_timeout_s):
         """Close a connection; none is kept."""
@@ -460,7 +501,7 @@
         )
         gateway_hub = hub.Hub(options, next(self.incarnations), log)
         created = gateway.Gateway(gateway_hub, metrics.Metrics())
-        created.connections = ServerConnections(self)
+        created.connections = ServerConnections(self, name)
         created.http = types.SimpleNamespace(conn_params=types.SimpleNamespace())
         created.gossip.transport = Transport(self, (name, 1))
         packed = documents.pack(orjson.dumps(self.document))
