Keep the rests that servers ask for

Cause: nothing read Retry-After of a server's 503. A refusal led to a back-off of 0.3 s, which doubles up to 5 s and counts the server as failing: too short at first, too long later, and forgotten with any success.

Now a gateway keeps a rest for the start of the server that asked for it, whatever is announced meanwhile: choices, queue and what was chosen and waits for a connection leave it out, and so do questions when it started. A later end replaces an earlier one. Its slots leave the capacity; where all servers rest, callers with time wait, and others are refused with the time when the first is back. It counts neither as failing nor as crashed. After its end one request at a time is sent until one is answered, so that a server that goes on turning requests away gets a few tries. A rest beyond an hour counts as one of an hour.

A line for each rest with who asked, for how long and which request was told; a counter and a gauge. Rests are not told to other gateways: the server means the gateway that it answers.

Tests red before: seven of rests_test. One of them is changed: in test_times_in_a_head the first request had no deadline and waited 1.5 s for other servers, longer than the rest of 1.4 s that the test then asks about; it now has 100 ms. The others pass in their first form.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -15,7 +15,7 @@
 import dataclasses
 import itertools
 
-from brasstrail.coordination import limits
+from brasstrail.coordination import limits, rests
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -146,6 +146,11 @@
     limit: limits.Limit | None = None
     permits: collections.deque = dataclasses.field(default_factory=collections.deque)
 
+    @property
+    def start(self):
+        """The identity of the server and when it started."""
+        return self.announcement.identity, self.announcement.born_ms
+
     @property
     def is_limited(self):
         """Whether the server names a limit."""
@@ -192,6 +197,7 @@
     wants : the ranks of the works that would go to a limited server if there were a
         permit, by server.
     wanted : the servers that the last work would have gone to.
+    rests : `rests.Rests`, the servers that want no requests from this gateway.
     """
 
     def __init__(self, node, regions):
@@ -207,6 +213,7 @@
         self.gateway_count = 1
         self.wants = {}
         self.wanted = []
+        self.rests = rests.Rests()
 
     # Server state.
 
@@ -444,7 +451,9 @@
         """Return whether a server accepts a new work now."""
         is_ready = server.announcement.phase is servers.ServerPhase.READY
         is_backing_off = now_ms < server.backoff_until_ms
-        return is_ready and not is_backing_off and work.may_run_on(server)
+        is_resting = self.rests.until_ms(server.start, now_ms) is not None
+        is_accepting = is_ready and not (is_backing_off or is_resting)
+        return is_accepting and work.may_run_on(server)
 
     def has_servers(self, work, tried=()):
         """Return whether any server is known to be ready that may run a work.
@@ -493,6 +502,8 @@
         """
         if self.total_running(server, now_ms) >= self.capacity(server):
             return False
+        if self.rests.is_tried(server.start, now_ms):
+            return False
         backlog_ms = (
             self.pending_prefill_tokens(server, now_ms) / DEFAULT_PREFILL_TOKENS_PER_MS
         )
@@ -595,6 +606,7 @@
                 continue
             del self.waiting[ticket]
             self.add_running(choice.identity, work)
+            self.rests.record_sent(self.servers[choice.identity].start, now_ms)
             if choice.permit is not None:
                 self.servers[choice.identity].permits.popleft()
             self.record_start(work, now_ms)
@@ -638,9 +650,10 @@
             and other.rank <= work.rank
             and self.compete(other, work)
         )
+        rest_ms = self.rest_wait_ms(work, now_ms)
         if not ahead:
-            return 0.0
-        capacity, _ = self.usable_capacity(work, now_ms)
+            return rest_ms
+        capacity, _ = self.usable_capacity(work, now_ms + rest_ms)
         start_interval_ms = (
             self.service_time_ms(work.service)
             * self.gateway_count
@@ -656,10 +669,22 @@
         remaining_fraction = (
             1.0 - higher_rank_starts * start_interval_ms / START_RATE_WINDOW_MS
         )
-        return (
+        return rest_ms + (
             ahead * start_interval_ms / max(MIN_REMAINING_FRACTION, remaining_fraction)
         )
 
+    def rest_wait_ms(self, work, now_ms):
+        """Return how long all servers that may run a work rest; 0 if one does not."""
+        ends = [
+            self.rests.until_ms(server.start, now_ms)
+            for server in self.servers.values()
+            if server.announcement.phase is servers.ServerPhase.READY
+            and work.may_run_on(server)
+        ]
+        if not ends or None in ends:
+            return 0.0
+        return min(ends) - now_ms
+
     def compete(self, work, other):
         """Return whether a server may run either of two works of a service."""
         is_bound = work.software is not None and other.software is not None
--- a/brasstrail/core/calls.py
+++ b/brasstrail/core/calls.py
@@ -89,7 +89,8 @@
     idle connection, or None. `load` is the load report in the answer, or None.
     `content_type` is empty if it is not stated. `limit_per_s` is how many requests a
     second the server takes from all gateways, or None if it does not say so; it means
-    nothing unless `is_limit_readable`.
+    nothing unless `is_limit_readable`. `rest_s` is for how many seconds the server
+    wants no more requests from this gateway, or None if it does not say so.
     """
 
     status: int
@@ -106,3 +107,4 @@
     content_type: str = ""
     limit_per_s: float | None = None
     is_limit_readable: bool = True
+    rest_s: float | None = None
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -8,6 +8,8 @@
 - `X-Length-Hint` is the expected number of output tokens.
 - `X-Server-Load` holds a server's running and waiting requests and its slots.
 - `Server-Limit` holds the requests a second that a server takes from all gateways.
+- `Retry-After` of a server's 503 is about the gateway that it answers: it wants
+  nothing from that for so many seconds.
 - `X-Tenant-Id` is the name of a workspace.
 - `Resumes` is the attempt id of the request that brought a stream's first event.
 - `X-Instance-Id` identifies one start of a server; after a restart it differs.
@@ -30,6 +32,8 @@
 LOAD_HEADER = "X-Server-Load"
 LIMIT_HEADER = "Server-Limit"
 LIMIT_PATTERN = re.compile(r"\d{1,9}(\.\d{0,9})?")
+RETRY_HEADER = "Retry-After"
+SECONDS_PATTERN = re.compile(r"\d{1,300}(\.\d{0,300})?")
 TOKEN_BOUNDS_HEADER = "X-Token-Usage"
 PROMPT_PARTS_HEADER = "X-Prefix-Hash"
 EXPECTED_OUTPUT_HEADER = "X-Length-Hint"
@@ -39,6 +43,7 @@
 REPORT_PATH = "/v1/report"
 API_KEY_SCHEME = "token "
 MISDIRECTED_REQUEST_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 # Hop-by-hop headers apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -263,6 +268,7 @@
         parse_load_report(headers.get(LOAD_HEADER)),
         headers.get("Content-Type", ""),
         *parse_limit(headers.get_list(LIMIT_HEADER)),
+        parse_rest_s(start_line.code, headers.get_list(RETRY_HEADER)),
     )
 
 
@@ -279,6 +285,22 @@
     return min(numbers, default=None), len(numbers) > 0 or not values
 
 
+def parse_rest_s(status, values):
+    """Return the rest that an answer asks for in seconds, or None.
+
+    Only a 503 asks for rest. The longest of several times holds; a time of 0, one below
+    0, a date and what is no number ask for none.
+
+    >>> parse_rest_s(503, ["2", "0.5"]), parse_rest_s(503, ["-1"])
+    (2.0, None)
+    """
+    if status != UNAVAILABLE_STATUS:
+        return None
+    items = [item.strip() for value in values for item in value.split(",")]
+    numbers = [float(item) for item in items if SECONDS_PATTERN.fullmatch(item)]
+    return max(numbers, default=0.0) or None
+
+
 def parse_keep_alive_timeout_s(value):
     """Return the time-out in seconds in a `Keep-Alive` header, or None."""
     for item in (value or "").split(","):
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -277,6 +277,8 @@
                 if failure is None:
                     raise
                 return self.relay_failure(failure)
+            except refusals.ServerUnavailable:
+                self.tried.discard(choice.identity)
             except refusals.NotRun as error:
                 self.record_failure(choice, error)
                 self.check_retry_not_run(error)
@@ -307,7 +309,9 @@
         latest_ms = self.latest_start_ms(work)
         if not self.reply.head_sent and gateway.pool.has_servers(work):
             if now_ms + gateway.pool.expected_wait_ms(work, now_ms) > latest_ms:
-                raise self.refusal("overload", self.retry_after_s())
+                rest_ms = gateway.pool.rest_wait_ms(work, now_ms)
+                reason = "servers_rest" if rest_ms else "overload"
+                raise self.refusal(reason, self.retry_after_s())
         choice = await gateway.wait_for_server(
             work, frozenset(self.tried), max(1, latest_ms - now_ms)
         )
@@ -332,7 +336,9 @@
         if not self.gateway.is_discovering_servers():
             self.log_left_out(work)
             reason = "no_server" if work.software is None else "no_server_of_version"
-            raise self.refusal(reason, NO_SERVER_RETRY_S)
+            rest_ms = self.gateway.pool.rest_wait_ms(work, clock.now_ms())
+            retry_s = self.retry_after_s() if rest_ms else NO_SERVER_RETRY_S
+            raise self.refusal(reason, retry_s)
         return min(latest_ms, clock.now_ms() + self.lease_wait_ms())
 
     def refusal(self, reason, retry_after_s):
@@ -358,7 +364,9 @@
         server_pool = self.gateway.pool
         wait_s = server_pool.expected_wait_ms(self.work(), clock.now_ms()) / 1000
         wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        return wait_s * random.uniform(1.0, 1.0 + 2 * RETRY_JITTER_FRACTION)
+        rest_s = server_pool.rest_wait_ms(self.work(), clock.now_ms()) / 1000
+        jitter_s = wait_s * random.uniform(0.0, 2 * RETRY_JITTER_FRACTION)
+        return max(wait_s, rest_s) + jitter_s
 
     # Retries.
 
@@ -431,12 +439,23 @@
             may_have_run=isinstance(error, refusals.ExecutionUnknown),
             events=self.reply.events,
         )
-        if not self.is_limit_refusal(choice, error):
+        is_expected = self.is_rest_refusal(choice, error) or self.is_limit_refusal(
+            choice, error
+        )
+        if not is_expected:
             self.gateway.pool.failed(
                 choice.identity, clock.now_ms(), error.needs_backoff
             )
         self.gateway.metrics.count("gateway_failed_sendings", reason=error.reason)
 
+    def is_rest_refusal(self, choice, error):
+        """Return whether a server that asks for rest has turned the request away."""
+        server = self.gateway.pool.servers.get(choice.identity)
+        if server is None or not isinstance(error, refusals.NotRun):
+            return False
+        rests = self.gateway.pool.rests
+        return rests.until_ms(server.start, clock.now_ms()) is not None
+
     def is_limit_refusal(self, choice, error):
         """Return whether a server that names a limit has refused the request."""
         server = self.gateway.pool.servers.get(choice.identity)
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -532,6 +532,7 @@
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
+            self.pool.rests.remove_expired(now_ms)
             self.drop_unlisted_peers(now_ms)
 
     def register_gauges(self):
@@ -545,12 +546,22 @@
         gauge("gateway_held_bytes", lambda: self.held_bytes)
         gauge("gateway_peers", lambda: self.pool.gateway_count - 1)
         gauge("gateway_servers", lambda: len(self.pool.servers))
+        gauge("gateway_servers_resting", lambda: len(self.resting_servers()))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
         self.crashes.register_gauges(gauge)
         self.origins.register_gauges(gauge)
         self.limits.register_gauges(gauge)
         metrics.register_bytes_sent_gauges(self.metrics, self.hub)
 
+    def resting_servers(self):
+        """Return the identities of the servers that rest now."""
+        now_ms = clock.now_ms()
+        return [
+            identity
+            for identity, server in self.pool.servers.items()
+            if self.pool.rests.until_ms(server.start, now_ms) is not None
+        ]
+
     def lease_age_gauge_ms(self):
         """Return the age of the lease in milliseconds, or -1 if there was none."""
         age_ms = self.lease.age_ms
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -99,6 +99,8 @@
     gauge(
         "gateway_server_limit", "requests/s", "The limit that a server names.", "server"
     ),
+    gauge("gateway_servers_resting", "servers", "Servers that have asked for rest."),
+    counter("gateway_rests", "answers", "Answers that ask for rest."),
     counter("gateway_limit_changes", "changes", "Changes of limits of servers."),
     counter("gateway_trials", "requests", "Tries of held parts asked for.", "outcome"),
     counter("gateway_origins", "streams", "Streams taken up, by who knew.", "source"),
--- a/brasstrail/roles/refusals.py
+++ b/brasstrail/roles/refusals.py
@@ -41,6 +41,10 @@
     """The server has not run the request and never will."""
 
 
+class ServerUnavailable(NotRun):
+    """The server may be sent nothing any more since it was chosen; nothing was sent."""
+
+
 class ExecutionUnknown(AttemptFailed):
     """The server may have run the request."""
 
--- a/brasstrail/roles/rests_test.py
+++ b/brasstrail/roles/rests_test.py
@@ -96,7 +96,9 @@
                 server, other = self.platform.servers
                 other.end()
                 server.rests = [text]
-                await self.platform.call("g0", "/unsafe/x")
+                # A gateway that has just started would wait for other servers for longer
+                # than some of these rests.
+                await self.platform.call("g0", "/unsafe/x", X_Deadline_Ms="100")
                 self.platform.forget_failures()
                 await asyncio.sleep(0.6)
                 reply = await self.platform.call("g0", "/unsafe/x", X_Deadline_Ms="300")
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -145,6 +145,7 @@
                 raise refusals.NotRun("connect_failed", True) from error
         # The server may have left while the connection was opened.
         self.sent_to = self.announcement()
+        self.check_rest()
         if self.work.software is not None:
             await self.verify_start()
 
@@ -171,10 +172,17 @@
             raise refusals.NotRun("server_left", False)
         return server.announcement
 
+    def check_rest(self):
+        """Raise `refusals.ServerUnavailable` if the server has come to rest."""
+        start = self.sent_to.identity, self.sent_to.born_ms
+        if self.gateway.pool.rests.until_ms(start, clock.now_ms()) is not None:
+            raise refusals.ServerUnavailable("server_rests", False)
+
     def write(self):
         """Send the request; from now on it counts as one that may have run."""
         request = self.request
         call = request.call
+        self.check_rest()
         remaining_ms = request.admitted.deadline_ms - clock.now_ms()
         if remaining_ms < 1:
             raise refusals.NotRun("time_over", False)
@@ -210,6 +218,7 @@
         self.gateway.crashes.record_answer(self.tracked_run, self.connection.opened_ms)
         self.head = self.gateway.dialect.read_answer(start_line, headers)
         self.record_limit()
+        self.record_rest()
         self.check_head()
         if not self.is_success():
             return await self.receive_failure()
@@ -244,6 +253,32 @@
                 self.sent_to, head.limit_per_s, self.tracked_run.sent_ms
             )
 
+    def record_rest(self):
+        """Record the rest that the server asks for, or that it has answered.
+
+        It does not matter which request the answer belongs to, only which server it
+        comes from.
+        """
+        head, start = self.head, (self.sent_to.identity, self.sent_to.born_ms)
+        if head.identity and head.identity != self.choice.identity:
+            return
+        now_ms = clock.now_ms()
+        rests = self.gateway.pool.rests
+        if head.rest_s is None:
+            rests.record_answer(start, now_ms)
+            return
+        rest = rests.ask(start, head.rest_s, self.request.identity, now_ms)
+        self.gateway.metrics.count("gateway_rests")
+        self.gateway.log.info(
+            "sending: A server asks for rest.",
+            id=self.request.identity,
+            server=start[0],
+            born=start[1],
+            asked_s=head.rest_s,
+            left_s=round((rest.until_ms - now_ms) / 1000, 3),
+            decided_by=rest.attempt_id,
+        )
+
     def check_head(self):
         """Raise if the answer is invalid, or proves that the request has not run."""
         head, request = self.head, self.request
@@ -252,7 +287,7 @@
         if head.is_not_run:
             request.runs -= 1
             self.gateway.crashes.discard(self.tracked_run)
-            raise refusals.NotRun(f"not_run_{head.status}", True)
+            raise refusals.NotRun(f"not_run_{head.status}", head.rest_s is None)
         if head.is_encoded:
             raise refusals.ExecutionUnknown("encoded_answer", False)
         if self.is_success() and not head.is_signed:
@@ -271,7 +306,8 @@
             raise refusals.ExecutionUnknown("answer_too_large", False) from error
         except upstream.AnswerIncomplete as error:
             raise refusals.ServerBrokeOff("broken_failure", False) from error
-        self.gateway.pool.failed(self.choice.identity, clock.now_ms(), False)
+        if head.rest_s is None:
+            self.gateway.pool.failed(self.choice.identity, clock.now_ms(), False)
         self.request.reasons.append(f"server_{head.status}")
         if not head.is_signed or head.status in REFUSAL_STATUSES:
             raise refusals.ExecutionUnknown(f"server_{head.status}", False)
--- a/brasstrail/roles/starts.py
+++ b/brasstrail/roles/starts.py
@@ -85,7 +85,10 @@
                 return
 
     async def find_state(self, announcement):
-        """Return the `StartState` of a start."""
+        """Return the `StartState` of a start; a server that rests is not asked."""
+        start = announcement.identity, announcement.born_ms
+        if self.gateway.pool.rests.until_ms(start, clock.now_ms()) is not None:
+            return StartState.UNKNOWN
         try:
             connection = await self.gateway.connections.open(
                 announcement.address, PROBE_TIMEOUT_MS
