Send nothing new to servers that say in their answers that they leave

Cause: nothing read Server-Leaving; a server left only by its announcements, which come late, get lost, or reach control hosts that do not answer.

Now a gateway leaves a start of a server out for new requests from its first answer that says so, of any status, interim ones and heads of broken answers included: choices, queue, and what was chosen and waits for a connection. What the server runs goes on. It tells the other gateways, also those that start later. Announcements do not bring it back, and neither do later answers without the header: a server that leaves ends, and one that stays comes back as a new start at the latest. Where all leave, callers get a true refusal.

A line with who said so and when, and a gauge. One is changed: test_refusals_and_broken_answers_count counted requests that other gateways sent before any message could reach them; they are now told first, as in the other tests.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -15,7 +15,7 @@
 import dataclasses
 import itertools
 
-from brasstrail.coordination import limits, rests
+from brasstrail.coordination import departures, limits, rests
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -198,6 +198,7 @@
         permit, by server.
     wanted : the servers that the last work would have gone to.
     rests : `rests.Rests`, the servers that want no requests from this gateway.
+    departures : `departures.Departures`, the servers that leave.
     """
 
     def __init__(self, node, regions):
@@ -214,6 +215,7 @@
         self.wants = {}
         self.wanted = []
         self.rests = rests.Rests()
+        self.departures = departures.Departures()
 
     # Server state.
 
@@ -449,21 +451,24 @@
 
     def is_usable(self, server, work, now_ms):
         """Return whether a server accepts a new work now."""
-        is_ready = server.announcement.phase is servers.ServerPhase.READY
+        is_ready = self.is_ready(server)
         is_backing_off = now_ms < server.backoff_until_ms
         is_resting = self.rests.until_ms(server.start, now_ms) is not None
         is_accepting = is_ready and not (is_backing_off or is_resting)
         return is_accepting and work.may_run_on(server)
 
+    def is_ready(self, server):
+        """Return whether a server takes new requests, now or after its rest."""
+        is_announced = server.announcement.phase is servers.ServerPhase.READY
+        return is_announced and server.start not in self.departures
+
     def has_servers(self, work, tried=()):
         """Return whether any server is known to be ready that may run a work.
 
         `tried` are the identities of servers that must not be chosen again.
         """
         return any(
-            identity not in tried
-            and server.announcement.phase is servers.ServerPhase.READY
-            and work.may_run_on(server)
+            identity not in tried and self.is_ready(server) and work.may_run_on(server)
             for identity, server in self.servers.items()
         )
 
@@ -678,8 +683,7 @@
         ends = [
             self.rests.until_ms(server.start, now_ms)
             for server in self.servers.values()
-            if server.announcement.phase is servers.ServerPhase.READY
-            and work.may_run_on(server)
+            if self.is_ready(server) and work.may_run_on(server)
         ]
         if not ends or None in ends:
             return 0.0
--- a/brasstrail/core/calls.py
+++ b/brasstrail/core/calls.py
@@ -91,6 +91,7 @@
     second the server takes from all gateways, or None if it does not say so; it means
     nothing unless `is_limit_readable`. `rest_s` is for how many seconds the server
     wants no more requests from this gateway, or None if it does not say so.
+    `is_leaving` says that the server serves for a short time only.
     """
 
     status: int
@@ -108,3 +109,4 @@
     limit_per_s: float | None = None
     is_limit_readable: bool = True
     rest_s: float | None = None
+    is_leaving: bool = False
--- a/brasstrail/platform/dialect.py
+++ b/brasstrail/platform/dialect.py
@@ -39,6 +39,10 @@
         """Return the decoded head of a backend server's answer."""
         return headers.read_answer(start_line, http_headers)
 
+    def says_leaving(self, http_headers):
+        """Return whether the head of an answer says that its server leaves."""
+        return headers.says_leaving(http_headers)
+
     def refusal_headers(self, call, retry_after_s):
         """Return the headers of an error response that the system itself sends."""
         return headers.refusal_headers(call, retry_after_s)
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -33,6 +33,7 @@
 LIMIT_HEADER = "Server-Limit"
 LIMIT_PATTERN = re.compile(r"\d{1,9}(\.\d{0,9})?")
 RETRY_HEADER = "Retry-After"
+LEAVING_HEADER = "Server-Leaving"
 SECONDS_PATTERN = re.compile(r"\d{1,300}(\.\d{0,300})?")
 TOKEN_BOUNDS_HEADER = "X-Token-Usage"
 PROMPT_PARTS_HEADER = "X-Prefix-Hash"
@@ -269,6 +270,7 @@
         headers.get("Content-Type", ""),
         *parse_limit(headers.get_list(LIMIT_HEADER)),
         parse_rest_s(start_line.code, headers.get_list(RETRY_HEADER)),
+        says_leaving(headers),
     )
 
 
@@ -285,6 +287,15 @@
     return min(numbers, default=None), len(numbers) > 0 or not values
 
 
+def says_leaving(headers):
+    """Return whether a server says in the head of an answer that it leaves."""
+    return any(
+        item.strip() == "1"
+        for value in headers.get_list(LEAVING_HEADER)
+        for item in value.split(",")
+    )
+
+
 def parse_rest_s(status, values):
     """Return the rest that an answer asks for in seconds, or None.
 
--- a/brasstrail/protocol/dialects.py
+++ b/brasstrail/protocol/dialects.py
@@ -84,6 +84,10 @@
         """Return the `calls.AnswerHead` of a backend server's answer."""
         raise NotImplementedError
 
+    def says_leaving(self, headers):
+        """Return whether a head, also an interim one, says that its server leaves."""
+        raise NotImplementedError
+
     def refusal_headers(self, call, retry_after_s):
         """Return the headers of an error response that the system itself sends.
 
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -742,6 +742,15 @@
     born_ms: int
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerDeparture:
+    """A start of a backend server that has said in an answer that it leaves."""
+
+    identity: str
+    born_ms: int
+    heard_ms_ago: int
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewayState:
     """The state that a gateway sends to other gateways, in one datagram.
@@ -757,6 +766,7 @@
     spent: tuple[Spent, ...]
     crashes: tuple[CrashReport, ...] = ()
     limits: tuple[ServerLimit, ...] = ()
+    departures: tuple[ServerDeparture, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -298,6 +298,7 @@
   spent @4 :List(Spent);
   crashes @5 :List(CrashReport);
   limits @6 :List(ServerLimit);
+  departures @7 :List(ServerDeparture);
 }
 
 struct StreamOrigins {
@@ -647,6 +648,12 @@
   receivedMsAgo @5 :Int64;
 }
 
+struct ServerDeparture {
+  identity @0 :Text;
+  bornMs @1 :Int64;
+  heardMsAgo @2 :Int64;
+}
+
 struct StreamOrigin {
   key @0 :Text;
   workspace @1 :Text;
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -418,6 +418,9 @@
         )
         self.crashes.merge(message.name, message.crashes)
         self.limits.apply_reports(message.name, message.limits)
+        for each in message.departures:
+            start = each.identity, each.born_ms
+            self.record_departure(start, message.name, now_ms - each.heard_ms_ago)
         self.dispatch_waiting()
 
     def state(self, number, with_spent):
@@ -449,6 +452,31 @@
             spent,
             crash_reports,
             self.limits.reports(),
+            self.departure_reports(),
+        )
+
+    def record_departure(self, start, source, heard_ms):
+        """Record that a start of a server leaves, and tell the other gateways.
+
+        `source` is the attempt id or the gateway from which that is known.
+        """
+        if not self.pool.departures.record(start, source, heard_ms):
+            return
+        self.log.info(
+            "gateway: A server leaves.",
+            server=start[0],
+            born=start[1],
+            source=source,
+            age_ms=clock.now_ms() - heard_ms,
+        )
+        self.gossip.send_soon()
+
+    def departure_reports(self):
+        """Return the `messages.ServerDeparture`s to send to the other gateways."""
+        now_ms = clock.now_ms()
+        return tuple(
+            messages.ServerDeparture(*start, max(0, now_ms - departure.heard_ms))
+            for start, departure in self.pool.departures.latest()
         )
 
     # Requests.
@@ -533,6 +561,7 @@
             self.last_sweep_ms = now_ms
             self.connections.close_expired()
             self.pool.rests.remove_expired(now_ms)
+            self.pool.departures.remove_expired(now_ms)
             self.drop_unlisted_peers(now_ms)
 
     def register_gauges(self):
@@ -546,6 +575,7 @@
         gauge("gateway_held_bytes", lambda: self.held_bytes)
         gauge("gateway_peers", lambda: self.pool.gateway_count - 1)
         gauge("gateway_servers", lambda: len(self.pool.servers))
+        gauge("gateway_servers_leaving", lambda: len(self.leaving_servers()))
         gauge("gateway_servers_resting", lambda: len(self.resting_servers()))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
         self.crashes.register_gauges(gauge)
@@ -553,6 +583,14 @@
         self.limits.register_gauges(gauge)
         metrics.register_bytes_sent_gauges(self.metrics, self.hub)
 
+    def leaving_servers(self):
+        """Return the identities of the servers that have said that they leave."""
+        return [
+            identity
+            for identity, server in self.pool.servers.items()
+            if server.start in self.pool.departures
+        ]
+
     def resting_servers(self):
         """Return the identities of the servers that rest now."""
         now_ms = clock.now_ms()
--- a/brasstrail/roles/leaving_test.py
+++ b/brasstrail/roles/leaving_test.py
@@ -47,6 +47,7 @@
             with self.subTest(target):
                 await self.asyncSetUp()
                 await self.reach_leaving(target)
+                self.platform.exchange()
                 self.assertEqual(await self.count_new(), 0)
         await self.asyncSetUp()
         self.leaving.rests = ["0"] * 9
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -100,6 +100,7 @@
         "gateway_server_limit", "requests/s", "The limit that a server names.", "server"
     ),
     gauge("gateway_servers_resting", "servers", "Servers that have asked for rest."),
+    gauge("gateway_servers_leaving", "servers", "Servers that say that they leave."),
     counter("gateway_rests", "answers", "Answers that ask for rest."),
     counter("gateway_limit_changes", "changes", "Changes of limits of servers."),
     counter("gateway_trials", "requests", "Tries of held parts asked for.", "outcome"),
--- a/brasstrail/roles/rests_test.py
+++ b/brasstrail/roles/rests_test.py
@@ -96,7 +96,7 @@
                 server, other = self.platform.servers
                 other.end()
                 server.rests = [text]
-                # A gateway that has just started would wait for other servers for longer
+                # A gateway that has just started would wait for other servers, longer
                 # than some of these rests.
                 await self.platform.call("g0", "/unsafe/x", X_Deadline_Ms="100")
                 self.platform.forget_failures()
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -145,7 +145,7 @@
                 raise refusals.NotRun("connect_failed", True) from error
         # The server may have left while the connection was opened.
         self.sent_to = self.announcement()
-        self.check_rest()
+        self.check_available()
         if self.work.software is not None:
             await self.verify_start()
 
@@ -172,9 +172,11 @@
             raise refusals.NotRun("server_left", False)
         return server.announcement
 
-    def check_rest(self):
-        """Raise `refusals.ServerUnavailable` if the server has come to rest."""
+    def check_available(self):
+        """Raise `refusals.ServerUnavailable` if the server rests or leaves."""
         start = self.sent_to.identity, self.sent_to.born_ms
+        if start in self.gateway.pool.departures:
+            raise refusals.ServerUnavailable("server_leaves", False)
         if self.gateway.pool.rests.until_ms(start, clock.now_ms()) is not None:
             raise refusals.ServerUnavailable("server_rests", False)
 
@@ -182,7 +184,7 @@
         """Send the request; from now on it counts as one that may have run."""
         request = self.request
         call = request.call
-        self.check_rest()
+        self.check_available()
         remaining_ms = request.admitted.deadline_ms - clock.now_ms()
         if remaining_ms < 1:
             raise refusals.NotRun("time_over", False)
@@ -202,6 +204,7 @@
         request.attempts_made += 1
         request.runs += 1
         self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
+        self.connection.on_interim = self.read_interim
         self.connection.send(call.method, call.target, headers, request.body)
 
     # Answer.
@@ -219,6 +222,8 @@
         self.head = self.gateway.dialect.read_answer(start_line, headers)
         self.record_limit()
         self.record_rest()
+        if self.head.is_leaving:
+            self.record_departure()
         self.check_head()
         if not self.is_success():
             return await self.receive_failure()
@@ -253,6 +258,16 @@
                 self.sent_to, head.limit_per_s, self.tracked_run.sent_ms
             )
 
+    def read_interim(self, start_line, headers):
+        """Read an interim answer, of which only a departure matters."""
+        if self.gateway.dialect.says_leaving(headers):
+            self.record_departure()
+
+    def record_departure(self):
+        """Record that the server leaves."""
+        start = self.sent_to.identity, self.sent_to.born_ms
+        self.gateway.record_departure(start, self.request.identity, clock.now_ms())
+
     def record_rest(self):
         """Record the rest that the server asks for, or that it has answered.
 
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -85,9 +85,11 @@
     is_parsed : whether the parser has reached the end of the body.
     end : `AnswerEnd`, or None while the answer is being received.
     interim_answers : how many were received.
+    on_interim : called with the start line and headers of each interim answer, or None.
     """
 
-    def __init__(self):
+    def __init__(self, on_interim=None):
+        self.on_interim = on_interim
         self.head = asyncio.get_running_loop().create_future()
         self.framing = None
         self.chunks = asyncio.Queue(MAX_BUFFERED_CHUNKS)
@@ -104,7 +106,7 @@
         )
 
     def headers_received(self, start_line, headers):
-        """Store the head; interim answers are ignored.
+        """Store the head; interim answers are passed to `on_interim`.
 
         Raises `httputil.HTTPInputError`, upon which the connection is closed, if there
         are too many of these.
@@ -113,6 +115,8 @@
             self.interim_answers += 1
             if self.interim_answers > MAX_INTERIM_ANSWERS:
                 raise httputil.HTTPInputError("The server sends only interim answers.")
+            if self.on_interim is not None:
+                self.on_interim(start_line, headers)
         if start_line.code >= 200 and not self.head.done():
             self.framing = find_framing(start_line.code, headers)
             self.head.set_result((start_line, headers))
@@ -154,6 +158,7 @@
     opened_ms : when it was opened.
     idle_until_ms : until when an idle connection may be reused.
     requests_sent : how many requests were sent on the connection.
+    on_interim : called with the start line and headers of each interim answer, or None.
     """
 
     def __init__(self, stream, address):
@@ -165,11 +170,12 @@
         self.opened_ms = clock.now_ms()
         self.idle_until_ms = 0
         self.requests_sent = 0
+        self.on_interim = None
 
     def send(self, method, target, headers, body):
         """Write a request and start to read its answer."""
         self.requests_sent += 1
-        self.answer = Answer()
+        self.answer = Answer(self.on_interim)
         parameters = http1connection.HTTP1ConnectionParameters(
             chunk_size=CHUNK_BYTES,
             max_header_size=MAX_HEADER_BYTES,
