Ask for rest and leave in the soak

New kinds of fault, on their own and beside limits, parts and versions: a server, or all of them, turns half of its requests away and asks for 0.8 to 6 s of rest; a server says in its answers that it leaves while it announces itself as ready, and ends later; servers that drain say so, too.

--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -13,7 +13,10 @@
 
 While there is a file with the ending ".limit" beside its journal, the server names the
 number in it as its limit in all answers. While there is one with the ending ".endless",
-some of its answers never end.
+some of its answers never end. While there is one with the ending ".rest", the server
+turns some requests away and asks for as many seconds of rest as stand in it. While
+there is one with the ending ".leaving", and while it drains, it says in all answers
+that it leaves.
 
 The query parameter `end` makes a request end each server that begins to execute it, and
 names the way in which the server ends (see `ENDINGS`). Some parts of prompts do so, too
@@ -57,6 +60,8 @@
 ENDLESS_FRACTION = 0.2
 ENDLESS_PAUSES_S = (0.0, 0.0, 0.3)
 RESET_FRACTION = 0.5
+# The fraction of requests that a server turns away while it asks for rest.
+REST_FRACTION = 0.5
 
 
 class Server:
@@ -81,6 +86,8 @@
         self.journal = open(options["journal"], "ab", buffering=0)
         self.endless_path = pathlib.Path(options["journal"]).with_suffix(".endless")
         self.limit_path = pathlib.Path(options["journal"]).with_suffix(".limit")
+        self.rest_path = pathlib.Path(options["journal"]).with_suffix(".rest")
+        self.leaving_path = pathlib.Path(options["journal"]).with_suffix(".leaving")
         port = options["port"]
         self.write_record("up", name=f"server-{port}", version=options["version"])
 
@@ -96,6 +103,20 @@
         except FileNotFoundError:
             return ""
 
+    def draw_rest(self):
+        """Return the seconds of rest to ask for with a request, or an empty string."""
+        if random.random() >= REST_FRACTION:
+            return ""
+        try:
+            return self.rest_path.read_text()
+        except FileNotFoundError:
+            return ""
+
+    @property
+    def says_leaving(self):
+        """Whether the server says in its answers that it leaves."""
+        return self.state == "draining" or self.leaving_path.exists()
+
     def draws_endless(self):
         """Return whether the next answer never ends."""
         return random.random() < ENDLESS_FRACTION and self.endless_path.exists()
@@ -164,6 +185,7 @@
         self.server = server
         self.identity = ""
         self.limit = ""
+        self.is_leaving = False
         self.is_running = False
 
     async def get(self, count):
@@ -180,11 +202,24 @@
         self.identity = request_headers.get("X-Attempt-Id", "")
         expected = request_headers.get("X-Expected-Instance", self.server.identity)
         self.limit = self.server.read_limit()
+        rest, self.is_leaving = self.server.draw_rest(), self.server.says_leaving
         self.server.write_record(
-            "arrived", id=self.identity, limit=float(self.limit or 0)
+            "arrived",
+            id=self.identity,
+            limit=float(self.limit or 0),
+            rest=float(rest or 0),
+            leaving=self.is_leaving,
         )
         if self.limit:
             self.set_header("Server-Limit", self.limit)
+        if self.is_leaving:
+            self.set_header("Server-Leaving", "1")
+        if rest:
+            self.set_status(503)
+            self.set_header("X-Attempt-Id", self.identity)
+            self.set_header("X-Not-Executed", "1")
+            self.set_header("Retry-After", rest)
+            return
         if expected != self.server.identity:
             self.set_status(421)
             self.set_header("X-Attempt-Id", self.identity)
@@ -224,6 +259,8 @@
         }
         if self.limit:
             headers["Server-Limit"] = self.limit
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         return answers.Answer(self, headers, size, framings)
 
     async def send_endless(self, count):
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -31,6 +31,7 @@
     soaklimits,
     soakload,
     soakparts,
+    soakrests,
     soakretries,
     soakroutes,
     soakstreams,
@@ -397,6 +398,7 @@
         f"{soaklimits.describe_use(soak.observations)}, "
         f"{soakretries.describe_use(soak.observations)}, "
         f"{soakroutes.describe(soak.observations)}, "
+        f"{soakrests.describe(soak.observations)}, "
         f"{len(violations)} violations"
     )
     for guarantee, details in violations[:MAX_PRINTED_VIOLATIONS]:
@@ -415,6 +417,7 @@
         "retries": soakretries.describe_use(soak.observations),
         "limits": soaklimits.describe_use(soak.observations),
         "routes": soakroutes.describe(soak.observations),
+        "rests": soakrests.describe(soak.observations),
         "peak_memory_mb": max(soak.observations.peak_memory_mb.values(), default=0),
         "wrongly_held_back": len(soakcheck.find_wrong_refusals(soak.observations)),
         "violations": [[guarantee, repr(details)] for guarantee, details in violations],
--- a/brasstrail/tools/soak_test.py
+++ b/brasstrail/tools/soak_test.py
@@ -21,6 +21,17 @@
 LIMIT_OPTIONS = soak.Options(
     seed=1, seconds=10.0, gateways=4, fault_filters=("limit a server",)
 )
+LOSS_OPTIONS = soak.Options(
+    seed=2,
+    seconds=6.0,
+    gateways=4,
+    fault_filters=("lose everything", "quick succession"),
+    routes=1500,
+    has_narrow_link=True,
+)
+REST_OPTIONS = soak.Options(
+    seed=5, seconds=8.0, gateways=4, fault_filters=("rest", "leaves")
+)
 MIN_REQUESTS = 50
 MIN_TAKEN_UP = 20
 
@@ -52,6 +63,20 @@
         self.assertEqual(violations, [])
         self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
 
+    def test_service_returns_after_a_loss_of_everything(self):
+        """Guards against a return that never ends, with large documents."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(LOSS_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertTrue(run.observations.returns)
+
+    def test_rests_and_departures_of_servers_are_kept(self):
+        """Guards against requests to servers that want none, or that leave."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(REST_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
+
     def test_limits_of_servers_are_kept(self):
         """Guards against more requests from all gateways than a server has named."""
         daemon.configure_http()
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -17,6 +17,7 @@
     soaklimits,
     soakload,
     soakparts,
+    soakrests,
     soakstreams,
 )
 
@@ -411,3 +412,43 @@
     """Start a daemon or a backend server."""
     is_server = name in soak.server_arguments
     (soak.start_server if is_server else soak.running.start)(name)
+
+
+@fault("ask for rest", "server", 3.0, 12.0)
+def ask_for_rest(soak, name):
+    path = soak.folder / f"{name}.rest"
+    seconds = soak.random.choice(soakrests.REST_SECONDS)
+
+    def begin():
+        path.write_text(seconds)
+
+    # The fault at all servers uses the same file.
+    return FaultInjection(
+        begin, lambda: path.unlink(missing_ok=True), interrupts_requests=False
+    )
+
+
+@cluster_fault("ask for rest at all servers")
+async def ask_for_rest_everywhere(soak, kind):
+    soak.fault_counts[kind] += 1
+    seconds = soak.random.choice(soakrests.REST_SECONDS)
+    paths = [soak.folder / f"{name}.rest" for name in soak.process_names("server")]
+    free = [path for path in paths if not path.exists()]
+    for path in free:
+        path.write_text(seconds)
+    await asyncio.sleep(soak.random.uniform(3.0, 8.0))
+    for path in free:
+        path.unlink(missing_ok=True)
+
+
+@fault("say that a server leaves", "server", 2.0, 8.0)
+def say_that_server_leaves(soak, name):
+    """Let a server say that it leaves, while it announces itself as ready, and end."""
+    path = soak.folder / f"{name}.leaving"
+
+    def end():
+        path.unlink()
+        soak.running.kill(name)
+        soak.start_server(name)
+
+    return FaultInjection(path.touch, end)
