Count rests and departures by the start of a server in the soak

A new start is another server, so the check was wrong. It now counts by identity and start; both bounds stay, and a test shows that a request to the old start is still seen.

--- a/brasstrail/tools/soakrests.py
+++ b/brasstrail/tools/soakrests.py
@@ -19,17 +19,27 @@
 REST_SECONDS = ("0.8", "1.5", "3", "6")
 
 
-def arrivals_by_server(observations):
-    """Return (time, gateway, record) of all arrivals of requests, by server."""
+def arrivals_by_start(observations):
+    """Return (time, gateway, record) of all arrivals of requests, by start of a server.
+
+    A start is named by the server's identity and when it came up: some servers keep
+    their identity over their starts.
+    """
     gateways = {
         each.identity: each.gateway
         for each in (*observations.replies, *observations.probes)
     }
+    ups = collections.defaultdict(list)
+    for record in observations.records:
+        if record["event"] == "up":
+            ups[record["server"]].append(record["at"])
     arrivals = collections.defaultdict(list)
     for record in observations.records:
         if record["event"] == "arrived" and record["id"] in gateways:
             row = record["at"], gateways[record["id"]], record
-            arrivals[record["server"]].append(row)
+            server, at = record["server"], record["at"]
+            up_at = max((each for each in ups[server] if each <= at), default=0.0)
+            arrivals[server, up_at].append(row)
     for rows in arrivals.values():
         rows.sort(key=lambda row: row[0])
     return arrivals
@@ -38,7 +48,7 @@
 @soakcheck.check("a rest that a server asks for is kept")
 def find_broken_rests(observations):
     """Find rests in which a server got too many requests from the gateway it told."""
-    for server, rows in arrivals_by_server(observations).items():
+    for (server, _), rows in arrivals_by_start(observations).items():
         times = collections.defaultdict(list)
         for at, gateway, _ in rows:
             times[gateway].append(at)
@@ -62,7 +72,7 @@
     Counted from when the gateway that sends them has passed such an answer on.
     """
     replies = {each.identity: each for each in observations.replies}
-    for server, rows in arrivals_by_server(observations).items():
+    for (server, _), rows in arrivals_by_start(observations).items():
         told_at = {}
         for at, gateway, record in rows:
             reply = replies.get(record["id"])
--- a/brasstrail/tools/soakrests_test.py
+++ b/brasstrail/tools/soakrests_test.py
@@ -48,6 +48,16 @@
         self.arrive(103.1)
         self.assertEqual(len(self.find(LEAVING)), 1)
 
+    def test_new_start_of_the_same_identity_has_neither(self):
+        self.arrive(100.0, leaving=True, rest=9.0)
+        up = {"event": "up", "at": 103.5, "server": "i-1"}
+        self.observations.records.append(up)
+        for at in (104.0, 104.1, 104.2):
+            self.arrive(at)
+        self.assertEqual((self.find(RESTS), self.find(LEAVING)), ([], []))
+        self.arrive(103.4)
+        self.assertEqual(len(self.find(LEAVING)), 1)
+
     def test_rests_are_described(self):
         self.arrive(100.0, rest=3.0)
         self.arrive(100.0, leaving=True)
