Let a gateway that is always late find another control host

One that is late each time, on a slowed host, would never have given up a control host that is gone.

The choice is now left out at most once in a row. Test red before: test_held_up_gateway_reads_first_and_then_changes_the_control_host.

--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -14,7 +14,8 @@
 
 HEARTBEAT_INTERVAL_MS = 400
 # If the periodic work is later than this, the process itself was held up, and what has
-# arrived meanwhile is read first.
+# arrived meanwhile is read first. That is done only once in a row: a process that is
+# always late must find another control host, too.
 MAX_TICK_DELAY_MS = 400
 # After three heartbeat intervals without a confirmation the gateway switches to
 # another control host.
@@ -42,6 +43,7 @@
     awaited : (version, time) of the newest confirmed heartbeat whose document is still
         being read and of its sending, or None.
     last_tick_ms : when the periodic work last ran.
+    was_held_up : whether it was too late then, and left the choice of a host out.
     """
 
     def __init__(self, hub, gateway):
@@ -57,6 +59,7 @@
         self.received_version = 0
         self.awaited = None
         self.last_tick_ms = clock.now_ms()
+        self.was_held_up = False
         self.heartbeat_ids = itertools.count(1)
         self.ticker = ioloop.PeriodicCallback(self.tick, HEARTBEAT_INTERVAL_MS)
         hub.handlers.append(self)
@@ -111,8 +114,8 @@
         now_ms = clock.now_ms()
         delay_ms = now_ms - self.last_tick_ms - HEARTBEAT_INTERVAL_MS
         self.last_tick_ms = now_ms
-        is_held_up = delay_ms > MAX_TICK_DELAY_MS
-        if not is_held_up and self.has_lost_control_host(now_ms):
+        self.was_held_up = delay_ms > MAX_TICK_DELAY_MS and not self.was_held_up
+        if not self.was_held_up and self.has_lost_control_host(now_ms):
             self.switch_control_host()
         if self.active_link is not None:
             self.send_heartbeat()
--- a/brasstrail/roles/subscription_test.py
+++ b/brasstrail/roles/subscription_test.py
@@ -64,6 +64,26 @@
         self.confirm(self.link.sent[0].beat_id, document_version=5)
         self.assertIsNone(self.gateway.lease.renewed_ms)
 
+    # Guards against a gateway that is always late and never finds a control host again.
+    async def test_held_up_gateway_reads_first_and_then_changes_the_control_host(self):
+        other = FakeLink()
+        self.link.connected = False
+        self.subscription.links = {"c1": self.link, "c2": other}
+        self.now_ms += 5000
+        self.subscription.tick()
+        self.assertIs(self.subscription.active_link, self.link)
+        self.now_ms += 5000
+        self.subscription.tick()
+        self.assertIs(self.subscription.active_link, other)
+
+    async def test_lease_is_renewed_once_the_document_was_read(self):
+        sent_ms = self.now_ms
+        self.confirm(self.link.sent[0].beat_id, document_version=5)
+        self.gateway.document_version = 5
+        self.subscription.report_document(5)
+        self.assertEqual(self.gateway.lease.renewed_ms, sent_ms)
+        self.assertEqual(self.link.sent[-1].received_version, 5)
+
     async def test_each_heartbeat_renews_lease_at_most_once(self):
         self.confirm(99)
         self.assertIsNone(self.gateway.lease.renewed_ms)
