Cut a stream that has begun instead of answering within it

What callers saw: a resumable stream sent two events and broke off, the next server answered 500, and the caller read the head, the headers and the text of that answer where the next chunk of its stream was due. A failure that was kept from before the stream came up in the same way. An answer without a type, an empty one or one with another status ended the stream as if it were complete.

Cause: Reply.send_complete wrote a head whether or not one had been sent, and a later 2xx answer was taken for the rest of the stream by the route alone.

Change: Reply, which all exits use, cuts an answer that has begun; a later answer goes on with a stream only if it has its status and states its type where the first one did. One that only its connection frames and that has no event proves nothing.

--- a/brasstrail/fakes/scripted.py
+++ b/brasstrail/fakes/scripted.py
@@ -227,7 +227,8 @@
     cut_at : the number of bytes of the body that are sent; all of them if it is None.
         Only an answer that is sent whole is ended according to its framing.
     options : `head_sent`, whether the head is sent; `content_type`; `pause_at` and
-        `may_go_on`, the number of bytes after which the step waits for an event.
+        `may_go_on`, the number of bytes after which the step waits for an event;
+        `linger_s`, the time from the last bytes to the end.
     """
     is_whole = cut_at is None
     sent = body if is_whole else body[:cut_at]
@@ -255,6 +256,7 @@
         if is_whole:
             writer.write(last)
         await writer.drain()
+        await asyncio.sleep(options.get("linger_s", 0.0))
         if ending == "silent":
             await asyncio.sleep(60)
         if ending == "reset":
--- a/brasstrail/protocol/events.py
+++ b/brasstrail/protocol/events.py
@@ -41,6 +41,7 @@
     partial : the bytes after the last complete event.
     expects_event : whether the caller lacks at least one event, as far as known: it has
         none yet, or an earlier server's stream ended within the next one.
+    has_event_of_run : whether the present server has sent an event.
     """
 
     def __init__(self, last_id=""):
@@ -49,6 +50,7 @@
         self.partial = bytearray()
         self.searched_bytes = 0
         self.expects_event = not last_id
+        self.has_event_of_run = False
         # Events without an id that were forwarded after the one with `last_id`, and how
         # many of them the present server still repeats.
         self.unnumbered = 0
@@ -95,6 +97,7 @@
         fields = find_fields(event)
         if not fields:
             return True
+        self.has_event_of_run = True
         identity = find_id(fields)
         if identity is None:
             return self.record_unnumbered()
@@ -120,6 +123,7 @@
     def begin_run(self):
         """Prepare for the stream of another server, which goes on after `last_id`."""
         self.expects_event = self.expects_event or self.is_inside_event
+        self.has_event_of_run = False
         self.partial.clear()
         self.searched_bytes = 0
         self.unnumbered_to_drop = self.unnumbered
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -295,9 +295,9 @@
                     return self.relay_failure(failure)
 
     def relay_failure(self, failure):
-        """Send a server's failure to the caller unchanged."""
+        """Send a server's failure to the caller unchanged, or cut its stream."""
         self.reply.send_complete(failure.head, failure.body)
-        return "server_failed"
+        return "server_failed" if self.reply.end == "complete" else "stream_cut"
 
     async def acquire_server(self, work):
         """Return the `pool.Choice` of a server.
--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -25,6 +25,7 @@
     ----------
     head_sent : whether the head of the answer was sent.
     event_cutter : splits a stream into events; None before a stream starts.
+    head : the `calls.AnswerHead` of the stream that was begun, or None.
     end : how the answer to the caller ended, for the log: "complete", "cut" if its
         connection was closed within it, or "none" if there is no end yet.
     first_ms : when the first event, or the complete answer, was available; None
@@ -35,6 +36,7 @@
         self.gateway = gateway
         self.connection = connection
         self.head_sent = False
+        self.head = None
         self.end = "none"
         self.status = 0
         self.event_cutter = None
@@ -48,7 +50,10 @@
         return self.event_cutter.events if self.event_cutter else 0
 
     def send_complete(self, head, body):
-        """Send a server's complete answer."""
+        """Send a server's complete answer, or cut the stream that has begun."""
+        if self.head_sent:
+            self.abort()
+            return
         self.first_ms = clock.now_ms()
         headers = copy_headers(head)
         headers["Content-Length"] = str(len(body))
@@ -56,7 +61,7 @@
         self.finish()
 
     def send_refusal(self, refusal, call, ran):
-        """Send an answer that the gateway creates itself.
+        """Send an answer that the gateway creates itself, or cut one that has begun.
 
         Parameters
         ----------
@@ -113,6 +118,7 @@
     def write_stream_head(self, head):
         """Write the head of a stream once; the stream has no known length."""
         if not self.head_sent:
+            self.head = head
             callers.begin_answer(self.connection)
             self.write_head(head.status, head.reason, copy_headers(head))
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -330,11 +330,11 @@
 
     async def relay_success(self):
         """Relay a successful answer to the caller."""
+        if self.reply.head_sent and not self.continues_stream():
+            raise refusals.ExecutionUnknown("no_event_stream", True)
         if self.is_event_stream():
             await self.relay_stream()
             return
-        if self.reply.head_sent:
-            raise refusals.ExecutionUnknown("no_event_stream", True)
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
         except upstream.AnswerTooLarge as error:
@@ -352,6 +352,16 @@
         is_stream_route = self.route.kind is catalog.RouteKind.STREAM
         return is_stream_route and events.is_event_stream(content_type)
 
+    def continues_stream(self):
+        """Return whether an answer may be the rest of the stream that has begun.
+
+        It has the status of the stream's first answer, and the type that this stated.
+        """
+        first = self.reply.head
+        states_type = bool(self.head.content_type) or not first.content_type
+        has_status = self.head.status == first.status
+        return has_status and states_type and self.is_event_stream()
+
     async def relay_stream(self):
         """Relay a stream as it arrives; if it breaks, another server may resume it."""
         self.reply.begin_stream(self.request.call.resume_after)
@@ -378,11 +388,15 @@
         """Raise if a stream that has ended in order was broken off.
 
         A stream that ends within an event was broken off, whatever its framing says.
-        So was one that only its connection frames, if it has no event and one is due.
+        So was one that only its connection frames, if it has no event and one is due;
+        without any event it also proves nothing of a stream that broke off before.
         """
         cutter = self.reply.event_cutter
         is_framed = self.connection.framing is not upstream.Framing.CONNECTION
-        if cutter.is_inside_event or (cutter.expects_event and not is_framed):
+        needs_event = cutter.expects_event or (
+            self.reply.head_sent and not cutter.has_event_of_run
+        )
+        if cutter.is_inside_event or (needs_event and not is_framed):
             raise refusals.ServerBrokeOff("stream_cut_short", True)
 
     # Silence time-outs and time per token.
