Do not write an engine's error into an answer that has begun

What callers saw: on the entries' interface the first engine broke off and the next one answered the request for the rest with 404; the text of the error followed the events, and the answer ended in order without its end marker. A buffered answer was both, with the error's status.

Cause: the sinks take the head of any attempt for the head of the answer.

Change: an error instead of the rest is a failed attempt; another engine goes on, or the caller gets a typed error as for any answer that breaks off.

Evidence: roles/exchange_test.py, three tests, red before (all three), green after.

--- a/brasstrail/roles/exchange.py
+++ b/brasstrail/roles/exchange.py
@@ -256,6 +256,8 @@
             if isinstance(event, Placed):
                 self.entry.start_attempt(attempt, event, self.resume_text())
             elif isinstance(event, messages.Head):
+                if self.sent_chunks:
+                    return make_rest_refused_fault(attempt, event.status)
                 await self.sink.write_head(event.status, event.headers)
             elif isinstance(event, messages.Part):
                 await self.forward_part(attempt, event)
@@ -306,6 +308,20 @@
         return chat.joined_text(chat.EventSplitter().feed(b"".join(self.sent_chunks)))
 
 
+def make_rest_refused_fault(attempt, status):
+    """Return the fault for an engine that answers with an error instead of the rest.
+
+    A part of the answer is with the caller, or buffered; the error is no part of it.
+    """
+    return messages.Fault(
+        attempt.work.request_id,
+        errors.ServerFailed.code,
+        f"The backend server did not continue the answer: it answered {status}.",
+        "Send the request again.",
+        str(data.RunStatus.NOT_RUN),
+    )
+
+
 def make_agent_lost_fault(attempt):
     """Return the fault for an attempt whose agent was lost."""
     return messages.Fault(
