Let a refusal count only for the request that it names

What callers saw: on a kept connection a faulty server wrote a refusal without an attempt id where the answer to the next request was due (503, X-Not-Executed). The server ran that request; the gateway took it for not run, and sent it to a second server, which ran it too. Callers whose request may run twice were told 503 by the gateway although it was running. A second copy of an answer without an id reached the next caller as its own.

Cause: an answer was taken for another request's only if it named another request.

Change: a refusal proves that the request which it names has not run, and nothing of any other. An answer that names none counts only as the first one on its connection, and a request without an id gets a connection of its own.

--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -101,6 +101,7 @@
         self.address = server.address
         self.on_interim = None
         self.attempt_id = ""
+        self.requests_sent = 0
         self.chunks = asyncio.Queue()
         self.runner = None
         self.framing = None
@@ -112,6 +113,7 @@
 
     def send(self, method, target, headers, body):
         """Send a request; the server runs it in a task of its own."""
+        self.requests_sent += 1
         if target == REPORT_PATH:
             return self.report()
         self.framing = next(self.server.platform.framings)
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -143,9 +143,18 @@
         return reader, writer
 
     def write_request(
-        self, writer, route, key="k", body=b"", protocol="HTTP/1.1", **named
+        self,
+        writer,
+        route,
+        key="k",
+        body=b"",
+        protocol="HTTP/1.1",
+        identity="42",
+        **named,
     ):
-        lines = [f"POST /{route}/x?y {protocol}", "Host: h", "X-Attempt-Id: 42"]
+        lines = [f"POST /{route}/x?y {protocol}", "Host: h"]
+        if identity:
+            lines.append(f"X-Attempt-Id: {identity}")
         if key:
             lines.append(f"Authorization: Token {key}")
         lines.append(f"Content-Length: {len(body)}")
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -130,12 +130,17 @@
     # Request.
 
     async def open(self):
-        """Take an idle connection to the server, or open a new one."""
+        """Take an idle connection to the server, or open a new one.
+
+        A request without an id always gets a new one: nothing would tell its answer
+        from that of an earlier request.
+        """
         announcement = self.announcement()
         connections = self.gateway.connections
-        self.connection = connections.take_idle(
-            announcement.address, announcement.identity
-        )
+        if self.request.identity:
+            self.connection = connections.take_idle(
+                announcement.address, announcement.identity
+            )
         if self.connection is None:
             try:
                 self.connection = await connections.open(
@@ -295,10 +300,20 @@
         )
 
     def check_head(self):
-        """Raise if the answer is invalid, or proves that the request has not run."""
+        """Raise if the answer is invalid, or proves that the request has not run.
+
+        A refusal proves that of the request which it names, and of no other: it may be
+        a copy of an earlier one. An answer that names no request counts only if it can
+        belong to none before.
+        """
         head, request = self.head, self.request
         if head.attempt_id and request.identity and head.attempt_id != request.identity:
             raise refusals.ExecutionUnknown("foreign_answer", False)
+        names_request = head.attempt_id == request.identity
+        if head.is_not_run and not names_request:
+            raise refusals.ExecutionUnknown("unnamed_refusal", False)
+        if not names_request and self.connection.requests_sent > 1:
+            raise refusals.ExecutionUnknown("unnamed_answer", False)
         if head.is_not_run:
             request.runs -= 1
             self.gateway.crashes.discard(self.tracked_run)
