Write earlier answers once more, and fail the rest of streams, in the soak

Two kinds of fault: a server writes a refusal or an answer of an earlier request, with its id or without one, before the answer that is due; and servers of streams break new ones off and answer for the rest with 204, 404, 500 or 503. A new check: a stream holds nothing but its events, also where a chunk's size is due.

--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -16,7 +16,9 @@
 some of its answers never end. While there is one with the ending ".rest", the server
 turns some requests away and asks for as many seconds of rest as stand in it. While
 there is one with the ending ".leaving", and while it drains, it says in all answers
-that it leaves.
+that it leaves. While there is one with the ending ".earlier", it writes some earlier
+answers once more. While there is one with the ending ".failing", it breaks off streams
+and answers some requests for the rest of a stream with an error.
 
 The query parameter `end` makes a request end each server that begins to execute it, and
 names the way in which the server ends (see `ENDINGS`). Some parts of prompts do so, too
@@ -36,7 +38,7 @@
 import orjson
 from tornado import httpclient, httpserver, iostream, web
 
-from brasstrail.fakes import answers, endless, fatalparts
+from brasstrail.fakes import answers, endless, fatalparts, faultyanswers
 from brasstrail.transport import sockets
 
 ANNOUNCE_INTERVAL_S = 0.4
@@ -88,6 +90,8 @@
         self.limit_path = pathlib.Path(options["journal"]).with_suffix(".limit")
         self.rest_path = pathlib.Path(options["journal"]).with_suffix(".rest")
         self.leaving_path = pathlib.Path(options["journal"]).with_suffix(".leaving")
+        self.earlier_path = pathlib.Path(options["journal"]).with_suffix(".earlier")
+        self.failing_path = pathlib.Path(options["journal"]).with_suffix(".failing")
         port = options["port"]
         self.write_record("up", name=f"server-{port}", version=options["version"])
 
@@ -129,6 +133,21 @@
         """Return whether the next answer is broken off."""
         return self.breaks_answers and random.random() < BREAK_FRACTION
 
+    def draws_stream_break(self, after):
+        """Return whether the next stream, of the events that follow, is broken off."""
+        if self.draws_break():
+            return True
+        is_new = not after
+        return (
+            is_new and random.random() < BREAK_FRACTION and self.failing_path.exists()
+        )
+
+    def draw_failure(self, after):
+        """Return the status and body of a failure of the rest of a stream, or None."""
+        if not after or not self.failing_path.exists():
+            return None
+        return faultyanswers.draw_failure()
+
     async def send_announcement(self, method):
         """Announce to a random control host; return whether it acknowledged."""
         self.sequence += 1
@@ -225,6 +244,7 @@
             self.set_header("X-Attempt-Id", self.identity)
             self.set_header("X-Not-Executed", "1")
             return
+        await self.write_earlier_answer()
         after = int(request_headers.get("Last-Event-Id", 0))
         self.server.write_record(
             "start",
@@ -240,6 +260,9 @@
         if ending:
             self.server.write_record("ended", id=self.identity, how=ending)
             await ENDINGS[ending](self, count)
+        failure = self.server.draw_failure(after)
+        if failure is not None:
+            return self.fail(*failure)
         is_complete = False
         with contextlib.suppress(iostream.StreamClosedError):
             if self.server.draws_endless():
@@ -250,6 +273,26 @@
                 is_complete = await self.send_plain()
         self.record_end(is_complete)
 
+    async def write_earlier_answer(self):
+        """Write a copy of an earlier answer on the connection, if one is drawn."""
+        stream = self.request.connection.stream
+        earlier_id = getattr(stream, "last_attempt_id", "")
+        stream.last_attempt_id = self.identity
+        if not self.server.earlier_path.exists():
+            return
+        copy = faultyanswers.draw_copy(earlier_id)
+        if copy is not None:
+            with contextlib.suppress(iostream.StreamClosedError):
+                await stream.write(copy)
+
+    def fail(self, status, body):
+        """Answer with a failure that the server has made."""
+        self.set_status(status)
+        self.set_header("X-Attempt-Id", self.identity)
+        self.set_header("X-Server-Signature", f"{self.server.identity}.{self.identity}")
+        self.write(body)
+        self.record_end(True)
+
     def begin_answer(self, size, content_type, framings=answers.FRAMINGS):
         """Return an `answers.Answer` with a signature; `size` is that of its body."""
         headers = {
@@ -302,7 +345,8 @@
         """Send the events after `after`; return whether the stream is complete."""
         events = self.make_events(after, count)
         answer = self.begin_answer(sum(map(len, events)), EVENT_STREAM)
-        broken = random.choice(events) if events and self.server.draws_break() else b""
+        is_broken = events and self.server.draws_stream_break(after)
+        broken = random.choice(events) if is_broken else b""
         next_events = [*events[1:], b""][: len(events)]
         for event, next_event in zip(events, next_events, strict=True):
             await asyncio.sleep(random.uniform(0.5, 1.5) * MEAN_EVENT_INTERVAL_S)
--- a/brasstrail/fakes/fleetcalls.py
+++ b/brasstrail/fakes/fleetcalls.py
@@ -51,7 +51,8 @@
     prompt that does; they are empty otherwise. `prompt` is the list of parts.
     For a stream that is taken up, `after` is the last event that the caller has and
     `resumes` the identity of the request that brought the first one. The caller leaves
-    once it has received `leave_after` events, and has then set `has_left`.
+    once it has received `leave_after` events, and has then set `has_left`. `stray` is
+    what arrived where the size of a chunk was due.
     """
 
     identity: str
@@ -74,6 +75,7 @@
     resumes: str = ""
     leave_after: int | None = None
     has_left: bool = False
+    stray: bytes = b""
 
     @property
     def stream(self):
@@ -225,7 +227,7 @@
             size = int(headers["content-length"])
             reply.body = await self.reader.readexactly(size)
         else:
-            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+            while size := await self.read_chunk_size(reply):
                 reply.body += await self.reader.readexactly(size)
                 await self.reader.readexactly(2)
                 if reply.leave_after and reply.body.count(EVENT_END) >= (
@@ -237,3 +239,12 @@
         reply.is_complete = True
         if headers.get("connection", "").lower() == "close":
             self.close()
+
+    async def read_chunk_size(self, reply):
+        """Return the size of the next chunk; record what is none and raise."""
+        line = await self.reader.readuntil(b"\r\n")
+        try:
+            return int(line, 16)
+        except ValueError:
+            reply.stray = line
+            raise
--- a/brasstrail/tools/soak_test.py
+++ b/brasstrail/tools/soak_test.py
@@ -32,6 +32,12 @@
 REST_OPTIONS = soak.Options(
     seed=5, seconds=8.0, gateways=4, fault_filters=("rest", "leaves")
 )
+EARLIER_ANSWER_OPTIONS = soak.Options(
+    seed=3, seconds=6.0, gateways=3, fault_filters=("earlier answers",)
+)
+FAILED_REST_OPTIONS = soak.Options(
+    seed=3, seconds=6.0, gateways=3, fault_filters=("fail their rest",)
+)
 MIN_REQUESTS = 50
 MIN_TAKEN_UP = 20
 
@@ -77,6 +83,20 @@
         self.assertEqual(violations, [])
         self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
 
+    def test_earlier_answers_count_for_no_other_request(self):
+        """Guards against a refusal that counts for a request that it does not name."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(EARLIER_ANSWER_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
+
+    def test_failures_stay_out_of_streams(self):
+        """Guards against the answer of a later server within a stream."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(FAILED_REST_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertGreater(len(run.observations.replies), MIN_REQUESTS)
+
     def test_limits_of_servers_are_kept(self):
         """Guards against more requests from all gateways than a server has named."""
         daemon.configure_http()
--- a/brasstrail/tools/soakcheck.py
+++ b/brasstrail/tools/soakcheck.py
@@ -267,6 +267,17 @@
             yield reply.identity, "end", last, reply.events
 
 
+@check("a stream holds nothing but its events")
+def find_strays_in_streams(observations):
+    """Find streams with bytes of another answer within them, or in place of a chunk."""
+    for reply in observations.replies:
+        if reply.route not in STREAM_ROUTES or reply.status != 200:
+            continue
+        rest = reply.stray + EVENT_PATTERN.sub(b"", reply.body)
+        if rest:
+            yield reply.identity, rest[:80]
+
+
 @check("what was read is answered")
 def find_lost_requests(observations):
     """Find requests without a complete answer from a gateway that had no fault.
--- a/brasstrail/tools/soakcheck_test.py
+++ b/brasstrail/tools/soakcheck_test.py
@@ -122,6 +122,15 @@
             self.observations.replies = [reply]
             self.assertEqual(self.violated_guarantees(), expected)
 
+    def test_stream_with_a_part_of_another_answer(self):
+        expected = {"a stream holds nothing but its events"}
+        for stray in (b"HTTP/1.1 500 Failed\r\n", b""):
+            reply = make_stream(1, 2, is_complete=False, stray=stray)
+            if not stray:
+                reply.body += b"no rest of this stream"
+            self.observations.replies = [reply]
+            self.assertEqual(self.violated_guarantees(), expected)
+
     def test_lost_request(self):
         expected = {"what was read is answered"}
         lost = make_reply(status=0, is_complete=False)
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -452,3 +452,27 @@
         soak.start_server(name)
 
     return FaultInjection(path.touch, end)
+
+
+@fault("write earlier answers once more", "server", 3.0, 10.0)
+def write_earlier_answers(soak, name):
+    path = soak.folder / f"{name}.earlier"
+    return FaultInjection(path.touch, path.unlink)
+
+
+@cluster_fault("break streams off and fail their rest")
+async def fail_rest_of_streams(soak, kind):
+    """Let servers of streams break new ones off and answer for the rest with errors.
+
+    Servers that have another fault are left out.
+    """
+    names = [each for each in soak.process_names("engine") if each not in soak.busy]
+    soak.busy.update(names)
+    seconds = soak.random.uniform(3.0, 8.0)
+    paths = [soak.folder / f"{name}.failing" for name in names]
+    await asyncio.gather(
+        *(
+            soak.disturb(kind, name, seconds, FaultInjection(path.touch, path.unlink))
+            for name, path in zip(names, paths, strict=True)
+        )
+    )
