Count the silent gateways once in a tenth of a second

Each refill of a workspace's bucket went through all other gateways to count the silent ones, and each report of each gateway refills several buckets. Counted calls in 12 s of one gateway beside 26 others: 50,247. The count is now used for 100 ms, a thirtieth of the time after which a gateway is silent.

--- a/brasstrail/coordination/allotments.py
+++ b/brasstrail/coordination/allotments.py
@@ -20,6 +20,8 @@
 # A gateway counts as silent after this time without a report; gateways send at least
 # one every second.
 SILENT_AFTER_MS = 3000
+# How long a count of the silent gateways is used.
+SILENT_COUNT_VALIDITY_MS = 100
 MS_PER_SECOND = 1000
 # Fraction of the bound's slack by which the bucket's capacity exceeds the burst; the
 # rest covers what gateways admit before they receive each other's reports.
@@ -66,6 +68,7 @@
     ----------
     spent : the cost that this gateway has admitted since its start, by workspace.
     peers : the last report of each other gateway, by name.
+    silent_count : how many other gateways were silent at `silent_counted_ms`.
     workspace_allotments : the `catalog.Allotment` of each workspace.
     """
 
@@ -75,6 +78,8 @@
         self.buckets = {}
         self.spent = {}
         self.peers = {}
+        self.silent_count = 0
+        self.silent_counted_ms = -SILENT_COUNT_VALIDITY_MS
         self.workspace_allotments = {}
 
     def configure(self, workspaces, now_ms):
@@ -162,10 +167,13 @@
 
     def silent_peer_count(self, now_ms):
         """Return how many other gateways have sent no recent report."""
-        return sum(
-            now_ms - peer.last_report_ms > SILENT_AFTER_MS
-            for peer in self.peers.values()
-        )
+        if not 0 <= now_ms - self.silent_counted_ms < SILENT_COUNT_VALIDITY_MS:
+            self.silent_counted_ms = now_ms
+            self.silent_count = sum(
+                now_ms - peer.last_report_ms > SILENT_AFTER_MS
+                for peer in self.peers.values()
+            )
+        return min(self.silent_count, len(self.peers))
 
     def usable_rate(self, allotment, now_ms):
         """Return the part of a rate that is not reserved for silent gateways."""
