Give each endless answer of a test a request of its own

The test sends the same request to one server after the other. Each breaks off and is then removed from the directory; beside load the removal came before the answer to the question whether the server had ended, so that it counted as crashed. After three of them the gateway held the request back (503, suspect_request, not run), as it should, and the test waited without end for a server that never got the request.

Each request now has a path of its own, and the wait for the server's connection to be closed fails after 60 s instead of never. What is asserted stays the same.

--- a/brasstrail/roles/endless_test.py
+++ b/brasstrail/roles/endless_test.py
@@ -11,6 +11,8 @@
 MAX_TAKEN_BYTES = 16 * 1024 * 1024
 # What a caller can have received when the answer to it is cut.
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# After this time a gateway that has answered its caller has failed to close a server.
+CLOSE_TIMEOUT_S = 60.0
 STREAM_NAMES = tuple(
     name for name in endless.ANSWERS if "event" in name or "comments" in name
 )
@@ -22,6 +24,9 @@
     async def send(self, name, pause_s=0.0):
         """Send a request to a server with an endless answer.
 
+        Each answer has a request of its own: one whose servers break off and then leave
+        is held back.
+
         Returns what the caller received, and the `endless.EndlessAnswer`.
         """
         route = "stream" if name in STREAM_NAMES or name == "chunk size" else "unsafe"
@@ -31,13 +36,15 @@
         self.announce("i0", server.address)
         self.renew_lease()
         reader, writer = await self.connect()
-        head = f"POST /{route}/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+        target = f"/{route}/{name.replace(' ', '-')}"
+        head = f"POST {target} HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
         head += "Authorization: Token k\r\nX-Deadline-Ms: 1500\r\n"
         writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
         received = await self.read_answer(reader)
         writer.close()
-        while not server.peer_closed_count:
-            await asyncio.sleep(0.01)
+        async with asyncio.timeout(CLOSE_TIMEOUT_S):
+            while not server.peer_closed_count:
+                await asyncio.sleep(0.01)
         self.remove_servers()
         return received, answer
 
