Read the datagrams of other gateways in batches

Cause: a gateway woke up for each datagram.

Change: the socket is read once in 20 ms, as long as datagrams arrive, and at once after a pause. News of other gateways lead to a dispatch after 20 ms instead of 5. A gateway receives up to 200 states a second of its own region and 100 of the others, where it was 300 of each: with 70 gateways a state is 0.17 and 0.35 s old. Names of fields in the schema are computed once.

--- a/brasstrail/protocol/schema.py
+++ b/brasstrail/protocol/schema.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import pathlib
 import types
 import typing
@@ -30,6 +31,7 @@
 }
 
 
+@functools.cache
 def camel_case(name):
     """Return a field name in camel case, as Cap'n Proto requires.
 
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -34,7 +34,7 @@
 IDLE_SWEEP_INTERVAL_MS = 500
 # Waiting requests are dispatched this long after news of other gateways: a fraction of
 # the delay with which these are sent.
-DISPATCH_DELAY_S = 0.005
+DISPATCH_DELAY_S = 0.02
 # Backend servers announce themselves at an interval that the users of the system chose.
 # Each does so at least once within this time, which is the default of the setting
 # `control.announce_interval_ms`.
@@ -173,7 +173,7 @@
         self.ready_http = httpserver.HTTPServer(self.handle_readiness_request)
         host, _, port = self.settings.ready_address.rpartition(":")
         self.ready_http.listen(int(port), host)
-        await self.gossip.open()
+        self.gossip.open()
         self.subscription.start()
         self.ticker.start()
 
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -16,21 +16,23 @@
 makes them obsolete. Such a state is kept undecoded until it is needed.
 """
 
-import asyncio
 import dataclasses
 import itertools
 import random
 
 from brasstrail.core import clock, errors
 from brasstrail.protocol import codec, messages
+from brasstrail.transport import datagrams
 
 # Longer than the time between two events of one request, but short compared with the
 # duration of a generation.
 OWN_REGION_BATCH_DELAY_S = 0.02
 # About three times the network delay between regions.
 OTHER_REGIONS_BATCH_DELAY_S = 0.1
-# Maximum rate at which a gateway receives datagrams.
-MAX_DATAGRAMS_PER_SECOND = 300
+# Maximum rates at which a gateway receives the states of its own region, to whose
+# servers most of its requests go, and those of the other regions.
+OWN_REGION_DATAGRAMS_PER_SECOND = 200
+OTHER_REGIONS_DATAGRAMS_PER_SECOND = 100
 # Allotment usage and the crashes of servers are sent less often than the rest of the
 # state: the allotment slack covers several seconds of usage, and new crashes are sent
 # at once.
@@ -116,12 +118,14 @@
     def own_region_batch_delay_s(self):
         """Return the batch delay for the own region, in seconds."""
         count = len(self.local_addresses) + len(self.data_centres.addresses)
-        return max(OWN_REGION_BATCH_DELAY_S, count / MAX_DATAGRAMS_PER_SECOND)
+        return max(OWN_REGION_BATCH_DELAY_S, count / OWN_REGION_DATAGRAMS_PER_SECOND)
 
     def other_regions_batch_delay_s(self):
         """Return the batch delay for the other regions, in seconds."""
         count = len(self.regions.addresses)
-        return max(OTHER_REGIONS_BATCH_DELAY_S, count / MAX_DATAGRAMS_PER_SECOND)
+        return max(
+            OTHER_REGIONS_BATCH_DELAY_S, count / OTHER_REGIONS_DATAGRAMS_PER_SECOND
+        )
 
     def relay_targets(self, source):
         """Return where to relay a datagram, or None if its source is unknown."""
@@ -151,7 +155,7 @@
         self.last_spent_ms = 0
 
 
-class Gossip(asyncio.DatagramProtocol):
+class Gossip:
     """Sends this gateway's state and receives that of the others.
 
     Parameters
@@ -164,6 +168,7 @@
 
     Attributes
     ----------
+    transport : `datagrams.DatagramSocket`, or None before it is opened.
     peers : `Peer` of the other gateways by name.
     pending : the newest state that is not applied yet, as `codec.Opened`, by gateway.
     latest_received : the highest (incarnation, number) received, by gateway name.
@@ -189,20 +194,13 @@
         self.number = 0
         self.datagrams_sent = 0
 
-    async def open(self):
+    def open(self):
         """Open the socket."""
         node = self.hub.settings.node
-        await self.hub.loop.create_datagram_endpoint(
-            lambda: self, local_addr=(node.address, node.peer_port)
+        self.transport = datagrams.DatagramSocket(
+            self.hub.loop, (node.address, node.peer_port), self.datagram_received
         )
 
-    def connection_made(self, transport):
-        """Store the transport."""
-        self.transport = transport
-
-    def error_received(self, error):
-        """Ignore the error; later datagrams may reach the peer."""
-
     def close(self):
         """Close the socket."""
         if self.transport is not None:
--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -170,13 +170,19 @@
                 for number in range(2000)
             ]
             topology = gossip.Topology(node, peers)
-            batch_delay_s = (
-                topology.own_region_batch_delay_s()
+            batch_delay_s, max_rate = (
+                (
+                    topology.own_region_batch_delay_s(),
+                    gossip.OWN_REGION_DATAGRAMS_PER_SECOND,
+                )
                 if region == "a"
-                else topology.other_regions_batch_delay_s()
+                else (
+                    topology.other_regions_batch_delay_s(),
+                    gossip.OTHER_REGIONS_DATAGRAMS_PER_SECOND,
+                )
             )
             rate = len(peers) / batch_delay_s
-            self.assertLessEqual(round(rate), gossip.MAX_DATAGRAMS_PER_SECOND)
+            self.assertLessEqual(round(rate), max_rate)
 
 
 if __name__ == "__main__":
