Send load and spending as columns between gateways

Decoding the states of other gateways was the largest part of a gateway's processor time that remained (9% of the samples).

Cause: the library reads each field of each record by itself, 1.3 us apiece: 81 us for a state with eight servers, 151 us with the spending of 16 workspaces.

Change: states hold the load by server and the spending by workspace as columns, which are read at once. A gateway says in its state that it reads them, and sends records as long as one of the others does not, so that a fleet of two versions knows all load.

--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -757,6 +757,11 @@
 
     `number` is the sequence number of the datagram. `spent` and `crashes` are empty if
     they were sent shortly before.
+
+    The load and the spending are in the records `shares` and `spent` or, if all other
+    gateways read that, in columns, which are decoded in a fraction of the time: the
+    four from `identities` on have a row for each server, the last two one for each
+    workspace. `reads_columns` tells that the sender reads columns.
     """
 
     name: str
@@ -767,6 +772,13 @@
     crashes: tuple[CrashReport, ...] = ()
     limits: tuple[ServerLimit, ...] = ()
     departures: tuple[ServerDeparture, ...] = ()
+    reads_columns: bool = False
+    identities: tuple[str, ...] = ()
+    running: tuple[int, ...] = ()
+    input_tokens: tuple[int, ...] = ()
+    output_tokens: tuple[int, ...] = ()
+    workspaces: tuple[str, ...] = ()
+    amounts: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -299,6 +299,13 @@
   crashes @5 :List(CrashReport);
   limits @6 :List(ServerLimit);
   departures @7 :List(ServerDeparture);
+  readsColumns @8 :Bool;
+  identities @9 :List(Text);
+  running @10 :List(Int64);
+  inputTokens @11 :List(Int64);
+  outputTokens @12 :List(Int64);
+  workspaces @13 :List(Text);
+  amounts @14 :List(Float64);
 }
 
 struct StreamOrigins {
--- /dev/null
+++ b/brasstrail/roles/columns.py
@@ -0,0 +1,79 @@
+"""Load and spending in the states that gateways send to each other.
+
+A state has both as records or as columns; see `messages.GatewayState`.
+"""
+
+from brasstrail.coordination import pool
+from brasstrail.core import errors
+from brasstrail.protocol import messages
+
+
+def load_fields(shares, as_columns):
+    """Return the fields of a state for `pool.LoadShare`s by server identity.
+
+    >>> load_fields({"a": pool.LoadShare(1, 20, 3)}, as_columns=True)["running"]
+    (1,)
+    """
+    if not as_columns:
+        records = tuple(
+            messages.ServerShare(
+                identity, share.running, share.input_tokens, share.output_tokens
+            )
+            for identity, share in shares.items()
+        )
+        return {"shares": records}
+    return {
+        "shares": (),
+        "identities": tuple(shares),
+        "running": tuple(share.running for share in shares.values()),
+        "input_tokens": tuple(share.input_tokens for share in shares.values()),
+        "output_tokens": tuple(share.output_tokens for share in shares.values()),
+    }
+
+
+def spending_fields(spent, as_columns):
+    """Return the fields of a state for the amounts spent, by workspace."""
+    if not as_columns:
+        return {"spent": tuple(messages.Spent(*item) for item in spent.items())}
+    return {
+        "spent": (),
+        "workspaces": tuple(spent),
+        "amounts": tuple(spent.values()),
+    }
+
+
+def read_load(state):
+    """Return the `pool.LoadShare`s of a `messages.GatewayState` by server identity.
+
+    Raises `errors.BadRequest` if its columns differ in length.
+    """
+    if state.shares:
+        return {
+            share.identity: pool.LoadShare(
+                share.running, share.input_tokens, share.output_tokens
+            )
+            for share in state.shares
+        }
+    columns = state.running, state.input_tokens, state.output_tokens
+    check_lengths(state, state.identities, *columns)
+    return dict(zip(state.identities, map(pool.LoadShare, *columns), strict=True))
+
+
+def read_spending(state):
+    """Return the amounts spent of a `messages.GatewayState`, by workspace.
+
+    Raises `errors.BadRequest` if its columns differ in length.
+    """
+    if state.spent:
+        return {each.workspace: each.amount for each in state.spent}
+    check_lengths(state, state.workspaces, state.amounts)
+    return dict(zip(state.workspaces, state.amounts, strict=True))
+
+
+def check_lengths(state, *columns):
+    """Raise `errors.BadRequest` if columns of a state differ in length."""
+    if len({len(column) for column in columns}) > 1:
+        raise errors.BadRequest(
+            f"The columns of the state of {state.name!r} differ in length.",
+            "Run the same version on every host.",
+        )
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -16,6 +16,7 @@
 from brasstrail.core import catalog, clock, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import (
+    columns,
     crashes,
     documents,
     forwarding,
@@ -410,13 +411,8 @@
     def apply_peer_state(self, message):
         """Apply another gateway's running requests and allotment usage."""
         now_ms = clock.now_ms()
-        shares = {
-            share.identity: pool.LoadShare(
-                share.running, share.input_tokens, share.output_tokens
-            )
-            for share in message.shares
-        }
-        spent = {each.workspace: each.amount for each in message.spent}
+        shares = columns.read_load(message)
+        spent = columns.read_spending(message)
         self.pool.update_load_shares(message.name, shares, now_ms)
         self.allotments.record_peer_spending(
             message.name, message.incarnation, spent, now_ms
@@ -435,28 +431,19 @@
         number : the sequence number of the message.
         with_spent : whether to include the allotment usage and the crashes.
         """
-        shares = tuple(
-            messages.ServerShare(
-                identity, share.running, share.input_tokens, share.output_tokens
-            )
-            for identity, share in self.pool.own_load_shares().items()
-        )
-        spent = crash_reports = ()
-        if with_spent:
-            crash_reports = self.crashes.reports()
-            spent = tuple(
-                messages.Spent(workspace, amount)
-                for workspace, amount in self.allotments.spent.items()
-            )
+        crash_reports = self.crashes.reports() if with_spent else ()
+        spent = self.allotments.spent if with_spent else {}
+        as_columns = self.gossip.all_read_columns
         return messages.GatewayState(
             self.hub.name,
             self.hub.incarnation,
             number,
-            shares,
-            spent,
-            crash_reports,
-            self.limits.reports(),
-            self.departure_reports(),
+            crashes=crash_reports,
+            limits=self.limits.reports(),
+            departures=self.departure_reports(),
+            reads_columns=True,
+            **columns.load_fields(self.pool.own_load_shares(), as_columns),
+            **columns.spending_fields(spent, as_columns),
         )
 
     def record_departure(self, start, source, heard_ms):
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -40,7 +40,7 @@
 KEEPALIVE_MS = 1000
 MAX_DATAGRAM_BYTES = 60_000
 # Fields of a state that must not be lost to a newer state.
-NEWS_FIELDS = ("spent", "crashes", "limits", "departures")
+NEWS_FIELDS = ("spent", "workspaces", "crashes", "limits", "departures")
 
 
 @dataclasses.dataclass(frozen=True)
@@ -171,6 +171,7 @@
     transport : `datagrams.DatagramSocket`, or None before it is opened.
     peers : `Peer` of the other gateways by name.
     pending : the newest state that is not applied yet, as `codec.Opened`, by gateway.
+    column_readers : the names of the gateways that read the columns of a state.
     latest_received : the highest (incarnation, number) received, by gateway name.
     number : the sequence number of the state that was last sent.
     """
@@ -190,6 +191,7 @@
             lambda: self.topology.other_regions_batch_delay_s(),
         )
         self.pending = {}
+        self.column_readers = set()
         self.latest_received = {}
         self.number = 0
         self.datagrams_sent = 0
@@ -209,8 +211,14 @@
     def set_peers(self, peers):
         """Replace the list of the other gateways."""
         self.peers = {peer.name: peer for peer in peers}
+        self.column_readers &= self.peers.keys()
         self.topology = Topology(self.hub.settings.node, peers)
 
+    @property
+    def all_read_columns(self):
+        """Whether all other gateways have told that they read columns."""
+        return self.peers.keys() <= self.column_readers
+
     def send_soon(self):
         """Schedule the state to be sent after the batch delay."""
         for group in (self.own_region, self.other_regions):
@@ -310,10 +318,14 @@
             return
         try:
             message = opened.load()
+            self.gateway.apply_peer_state(message)
         except errors.BadRequest as error:
             self.log_undecoded(error)
             return
-        self.gateway.apply_peer_state(message)
+        if message.reads_columns:
+            self.column_readers.add(name)
+        else:
+            self.column_readers.discard(name)
 
     def log_undecoded(self, error):
         """Log that a datagram was ignored."""
--- a/brasstrail/tools/slopes.py
+++ b/brasstrail/tools/slopes.py
@@ -21,6 +21,7 @@
 from brasstrail.coordination import admission, holders, origins, pool, scheduler
 from brasstrail.core import catalog, data, servers
 from brasstrail.protocol import codec, commands, messages, session
+from brasstrail.roles import columns
 from brasstrail.settings import settings
 from brasstrail.state import ledger, machine, view
 from brasstrail.transport import frames
@@ -497,11 +498,13 @@
 
 def make_gateway_state(size):
     """Return the state of a gateway that runs work on `size` servers."""
-    shares = tuple(
-        messages.ServerShare(f"i-{number:010x}", 2, 2000, 300) for number in range(size)
-    )
-    spent = tuple(messages.Spent(f"w{number}", 1000.0) for number in range(5))
-    return messages.GatewayState("gateway-10.1.0.17", 1, 7, shares, spent)
+    share = pool.LoadShare(2, 2000, 300)
+    shares = {f"i-{number:010x}": share for number in range(size)}
+    fields = {
+        **columns.load_fields(shares, as_columns=True),
+        **columns.spending_fields({f"w{n}": 1000.0 for n in range(5)}, as_columns=True),
+    }
+    return messages.GatewayState("gateway-10.1.0.17", 1, 7, **fields)
 
 
 @register_measurement(
@@ -528,13 +531,7 @@
 
     def receive():
         message = codec.decode_packed(codec.MESSAGE, payload)
-        shares = {
-            share.identity: pool.LoadShare(
-                share.running, share.input_tokens, share.output_tokens
-            )
-            for share in message.shares
-        }
-        gateway_pool.update_load_shares(message.name, shares, 0)
+        gateway_pool.update_load_shares(message.name, columns.read_load(message), 0)
 
     return cpu_time_us(receive)
 
