Do not use permits of limited servers that have run out

What could happen: a gateway that was held up for some seconds, or whose datagrams were, used permits of a limited server that had run out meanwhile: a grant that had waited for the process counted as new when it was read, waiting requests were dispatched with old permits before the periodic work gave them back, and a request that was waiting for its connection was written whenever the process went on. The coordinator had granted the same rate to others since.

Cause: the age of a permit was checked only by the periodic work.

Change: a permit is used only within its time; a grant that comes later than its question and a permit may last, or that was not asked for, is given back; before a request is written its permit is checked once more.

--- a/brasstrail/coordination/limits.py
+++ b/brasstrail/coordination/limits.py
@@ -25,6 +25,8 @@
 MAX_BURST = 4.0
 # A question is dropped if no permit is free within this time; it is asked again.
 QUESTION_VALIDITY_MS = 1000
+# How long a permit may be used. It is given back afterwards.
+PERMIT_VALIDITY_MS = 400
 # Questions of one server that wait for a permit.
 MAX_QUESTIONS = 256
 
@@ -67,6 +69,11 @@
     return known
 
 
+def is_valid(permit, now_ms):
+    """Return whether a permit, which has a `granted_ms`, may still be used."""
+    return now_ms - permit.granted_ms <= PERMIT_VALIDITY_MS
+
+
 @dataclasses.dataclass(order=True)
 class Question:
     """A gateway that waits for a permit; the lowest `rank` is served first."""
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -178,6 +178,10 @@
         """Whether the server names a limit."""
         return self.limit is not None and self.limit.per_s is not None
 
+    def has_permit(self, now_ms):
+        """Return whether there is a permit that has not run out."""
+        return bool(self.permits) and limits.is_valid(self.permits[0], now_ms)
+
 
 @dataclasses.dataclass(frozen=True)
 class Choice:
@@ -462,7 +466,7 @@
             if identity in tried or not work.may_run_on(server):
                 continue
             score = self.score(server, work, now_ms)
-            if server.is_limited and not server.permits:
+            if server.is_limited and not server.has_permit(now_ms):
                 without_permit.append((score, identity))
                 continue
             candidates += 1
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import sys
+import types
 import unittest
 
 import hypothesis
 from hypothesis import strategies
 
-from brasstrail.coordination import pool
+from brasstrail.coordination import limits, pool
 from brasstrail.core import catalog, servers
 from brasstrail.settings import settings
 
@@ -119,6 +120,18 @@
         self.assertEqual(gateway_pool.expected_wait_ms(other, 0), 0.0)
         self.assertGreater(gateway_pool.expected_wait_ms(bound, 0), 0.0)
 
+    def test_permit_that_has_run_out_is_not_used(self):
+        """Guards against a process that goes on with old permits after a pause."""
+        gateway_pool = make_pool(announce("a"))
+        server = gateway_pool.servers["a"]
+        server.limit = limits.Limit(5.0, 0, 0)
+        server.permits.append(types.SimpleNamespace(granted_ms=0))
+        work = make_work("1")
+        late_ms = limits.PERMIT_VALIDITY_MS + 1
+        self.assertIsNotNone(gateway_pool.choose(work, (), late_ms - 1))
+        self.assertIsNone(gateway_pool.choose(work, (), late_ms))
+        self.assertEqual(gateway_pool.wanted, ["a"])
+
     def test_failed_server_is_used_again_after_backoff(self):
         gateway_pool = make_pool(announce("a"))
         gateway_pool.failed("a", 0, with_backoff=True)
--- a/brasstrail/roles/limits.py
+++ b/brasstrail/roles/limits.py
@@ -15,8 +15,8 @@
 # A gateway is reachable if it was heard of within this time; gateways send their state
 # each second, and one of two datagrams may be lost.
 REACHABLE_MS = 3500
-# How long a permit may be used. It is given back afterwards.
-PERMIT_VALIDITY_MS = 400
+# A permit comes at the latest when its question is dropped, and is valid for a while.
+MAX_GRANT_DELAY_MS = limits.QUESTION_VALIDITY_MS + limits.PERMIT_VALIDITY_MS
 # Permits that are asked for at once for one server.
 MAX_ASKED = 8
 # How long the end of a limit is told to others.
@@ -192,34 +192,42 @@
             self.gateway.gossip.send_message((coordinator,), question)
 
     def accept(self, message, name):
-        """Take a permit that another gateway, or this one, has granted."""
+        """Take a permit that another gateway, or this one, has granted.
+
+        One that arrives long after it was asked for has run out: it has waited while
+        this process, or the network, was held up. It is given back.
+        """
+        now_ms = clock.now_ms()
         key = message.identity, message.born_ms
         server = self.gateway.pool.servers.get(message.identity)
-        asked = self.asked.get(key, [])
-        self.asked[key] = [each for each in asked if each[0] != message.number]
+        asked = dict(self.asked.get(key, ()))
+        asked_ms = asked.pop(message.number, None)
+        self.asked[key] = list(asked.items())
         is_same = server and server.announcement.born_ms == message.born_ms
         if not is_same or not server.is_limited:
             return
+        if asked_ms is None or now_ms - asked_ms > MAX_GRANT_DELAY_MS:
+            self.give_back(key, name)
+            return
         server.permits.append(
-            Permit(name, message.number, clock.now_ms(), message.granted_per_s)
+            Permit(name, message.number, now_ms, message.granted_per_s)
         )
         self.gateway.dispatch_waiting()
 
     def give_back_unused(self, now_ms):
         """Give the permits back that were not used in time."""
         for server in self.gateway.pool.servers.values():
-            while server.permits and (
-                now_ms - server.permits[0].granted_ms > PERMIT_VALIDITY_MS
-            ):
+            while server.permits and not limits.is_valid(server.permits[0], now_ms):
                 permit = server.permits.popleft()
-                announcement = server.announcement
-                message = messages.PermitReturn(
-                    announcement.identity, announcement.born_ms
-                )
-                if permit.coordinator == self.gateway.hub.name:
-                    self.handle_return(message)
-                elif permit.coordinator in self.gateway.gossip.peers:
-                    self.gateway.gossip.send_message((permit.coordinator,), message)
+                self.give_back(server.start, permit.coordinator)
+
+    def give_back(self, start, coordinator):
+        """Give a permit for a start of a server back to the gateway that granted it."""
+        message = messages.PermitReturn(*start)
+        if coordinator == self.gateway.hub.name:
+            self.handle_return(message)
+        elif coordinator in self.gateway.gossip.peers:
+            self.gateway.gossip.send_message((coordinator,), message)
 
     # Permits that this gateway coordinates.
 
--- a/brasstrail/roles/limits_test.py
+++ b/brasstrail/roles/limits_test.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import collections
+import types
 import unittest
+from unittest import mock
 
 import brasstrail.platform  # noqa: F401
+from brasstrail.coordination import limits
 from brasstrail.core import clock
 from brasstrail.fakes import memory
-from brasstrail.roles import crashes_test
+from brasstrail.protocol import codec, messages
+from brasstrail.roles import crashes_test, refusals, sending
+from brasstrail.roles import limits as roles_limits
 
 # The users' bound in a window of 4 s, scaled to the time of a test: one and a half
 # times what a limit allows, and five requests.
@@ -185,6 +190,74 @@
         self.assert_kept(10, 3, since_ms, used=0.5)
 
 
+class PausedGatewayTest(LimitCase):
+    """A gateway is held up for some seconds while it has, or is sent, a permit."""
+
+    PAUSE_MS = 5000
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.gateway = self.platform.gateways["g0"]
+        self.server = self.platform.servers[0]
+        self.known = self.gateway.pool.servers[self.server.identity]
+        self.start = self.server.identity, self.server.born_ms
+        self.known.limit = limits.Limit(5.0, clock.now_ms(), clock.now_ms())
+
+    def pause(self):
+        """Let the clocks go on as they do for a process that is held up."""
+        real_now_ms = clock.now_ms
+        patcher = mock.patch.object(
+            clock, "now_ms", lambda: real_now_ms() + self.PAUSE_MS
+        )
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def grant(self, number, coordinator="g1"):
+        """Let a grant of another gateway arrive."""
+        message = messages.PermitGrant(*self.start, number, 5.0)
+        self.gateway.limits.accept(message, coordinator)
+
+    def returns(self):
+        """Return how many permits have been given back to other gateways."""
+        payloads = [payload for *_, payload in self.platform.datagrams]
+        records = [codec.decode_packed(codec.MESSAGE, each) for each in payloads]
+        return sum(isinstance(each, messages.PermitReturn) for each in records)
+
+    async def test_grant_that_arrives_in_time_is_used(self):
+        self.gateway.limits.asked[self.start] = [(1, clock.now_ms())]
+        self.grant(1)
+        self.assertEqual(len(self.known.permits), 1)
+        self.assertEqual(self.returns(), 0)
+
+    async def test_grant_that_waited_for_the_gateway_is_given_back(self):
+        """Guards against a permit that counts as new when it is read after a pause."""
+        self.gateway.limits.asked[self.start] = [(1, clock.now_ms())]
+        self.pause()
+        self.grant(1)
+        self.assertEqual(len(self.known.permits), 0)
+        self.assertEqual(self.returns(), 1)
+
+    async def test_grant_that_was_not_asked_for_is_given_back(self):
+        self.grant(7)
+        self.assertEqual(len(self.known.permits), 0)
+        self.assertEqual(self.returns(), 1)
+
+    async def test_request_is_not_written_with_a_permit_that_has_run_out(self):
+        """Guards against a request that is sent after a pause with an old permit."""
+        permit = roles_limits.Permit("g1", 1, clock.now_ms(), 5.0)
+        choice = types.SimpleNamespace(identity=self.server.identity, permit=permit)
+        route = types.SimpleNamespace()
+        request = types.SimpleNamespace(
+            gateway=self.gateway, reply=None, route=route, identity="a"
+        )
+        attempt = sending.Attempt(request, choice, None)
+        attempt.sent_to = self.known.announcement
+        attempt.check_available()
+        self.pause()
+        with self.assertRaises(refusals.ServerUnavailable):
+            attempt.check_available()
+
+
 class AnswerTest(LimitCase):
     """What callers get, and what limits do to the servers' standing."""
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 
+from brasstrail.coordination import limits
 from brasstrail.core import calls, catalog, clock
 from brasstrail.protocol import events
 from brasstrail.roles import refusals, starts
@@ -178,8 +179,18 @@
         return server.announcement
 
     def check_available(self):
-        """Raise `refusals.ServerUnavailable` if the server rests or leaves."""
+        """Raise `refusals.ServerUnavailable` if the request must not be written now.
+
+        The server rests or leaves, or its permit has run out while the connection was
+        opened, or while this process was held up.
+        """
         start = self.sent_to.identity, self.sent_to.born_ms
+        permit = self.choice.permit
+        if permit is not None and (
+            clock.now_ms() - permit.granted_ms
+            > limits.PERMIT_VALIDITY_MS + CONNECT_TIMEOUT_MS
+        ):
+            raise refusals.ServerUnavailable("permit_expired", False)
         if start in self.gateway.pool.departures:
             raise refusals.ServerUnavailable("server_leaves", False)
         if self.gateway.pool.rests.until_ms(start, clock.now_ms()) is not None:
