Owe a rank its share only after ten seconds without it

Cause: a rank counted as behind after eight requests, within the first burst.

Change: a rank is owed requests once it has been behind for 10 s, until it clearly is not.

--- a/brasstrail/coordination/shares.py
+++ b/brasstrail/coordination/shares.py
@@ -3,14 +3,14 @@
 Ranks are served in their order. While more arrives than the servers can take, nothing
 may be left for the lowest ranks, however long that lasts. Over `COUNT_DECAY_MS` each
 rank is therefore due `LEAST_FRACTION` of the part of all requests that is served. While
-a rank is behind that, some of its requests go before those of all other ranks. Ranks
-that are not behind get nothing by this, and a short burst puts none behind.
+a rank has been behind that for `MAX_BEHIND_MS`, longer than bursts last, some of its
+requests go before those of all other ranks. All others are served in the usual order.
 
 >>> shares = RankShares()
->>> for _ in range(20):
-...     shares.record_arrival((1, 1), 0)
-...     shares.record_start((1, 1), 0)
-...     shares.record_arrival((1, 3), 0)
+>>> for now_ms in range(0, 20_000, 100):
+...     shares.record_arrival((1, 1), now_ms)
+...     shares.record_start((1, 1), now_ms)
+...     shares.record_arrival((1, 3), now_ms)
 >>> shares.owed((1, 1)), shares.owed((1, 3))
 (0, 1)
 """
@@ -21,8 +21,10 @@
 # The part of a rank's requests that is due, relative to that of all requests: the users
 # call a kind of request starved below a quarter.
 LEAST_FRACTION = 0.28
-# What a rank that is behind is owed with each arrival, and at most at once.
-OWED_BY_ARRIVAL = 0.3
+# How long a rank may be behind before it is owed anything.
+MAX_BEHIND_MS = 10_000
+# What a rank is owed with each arrival then, and at most at once, in requests.
+OWED_BY_ARRIVAL = 0.4
 MAX_OWED = 1.0
 # Time constant of the counts.
 COUNT_DECAY_MS = 60_000.0
@@ -55,23 +57,37 @@
     ----------
     all_ranks : `Counts` of all requests, as of `counted_ms`.
     by_rank : `Counts` by rank.
+    behind_since_ms : since when a rank has been behind, for those that are.
     owed_by_rank : how many requests a rank is owed, with fractions.
     """
 
     def __init__(self):
         self.all_ranks = Counts()
         self.by_rank = {}
+        self.behind_since_ms = {}
         self.owed_by_rank = {}
         self.counted_ms = 0
 
     def record_arrival(self, rank, now_ms):
-        """Record that a request has arrived; its rank is owed a part if behind."""
+        """Record that a request has arrived, for which its rank may be owed a part."""
         self.decay(now_ms)
         counts = self.by_rank.setdefault(rank, Counts())
         self.all_ranks.arrivals += 1.0
         counts.arrivals += 1.0
-        owed = self.owed_by_rank.get(rank, 0.0) + OWED_BY_ARRIVAL
-        self.owed_by_rank[rank] = min(MAX_OWED, owed) if self.is_behind(counts) else 0.0
+        self.update_behind_since(rank, counts, now_ms)
+        behind_since_ms = self.behind_since_ms.get(rank, now_ms)
+        if not self.gets_less(counts, LEAST_FRACTION):
+            self.owed_by_rank[rank] = 0.0
+        elif now_ms - behind_since_ms >= MAX_BEHIND_MS:
+            owed = self.owed_by_rank.get(rank, 0.0) + OWED_BY_ARRIVAL
+            self.owed_by_rank[rank] = min(MAX_OWED, owed)
+
+    def update_behind_since(self, rank, counts, now_ms):
+        """Record since when a rank is behind; it stays so until it clearly is not."""
+        if self.gets_less(counts, LEAST_FRACTION):
+            self.behind_since_ms.setdefault(rank, now_ms)
+        elif not self.gets_less(counts, 2 * LEAST_FRACTION):
+            self.behind_since_ms.pop(rank, None)
 
     def record_start(self, rank, now_ms):
         """Record that a request was dispatched to a server."""
@@ -81,9 +97,9 @@
         counts.starts += 1.0
         self.owed_by_rank[rank] = max(0.0, self.owed_by_rank.get(rank, 0.0) - 1.0)
 
-    def is_behind(self, counts):
-        """Return whether a rank gets less than it is due."""
-        due_fraction = LEAST_FRACTION * self.all_ranks.served_fraction
+    def gets_less(self, counts, fraction):
+        """Return whether a rank gets less than a fraction of what all requests get."""
+        due_fraction = fraction * self.all_ranks.served_fraction
         has_enough = counts.arrivals >= MIN_ARRIVALS
         return has_enough and counts.served_fraction < due_fraction
 
