--- a/brasstrail/tools/capacity.py
+++ b/brasstrail/tools/capacity.py
@@ -51,7 +51,7 @@
 TOKEN_BYTES = 200
 # The most datagrams per second that a gateway reads from others, and the number of
 # servers on which it has work.
-DATAGRAMS_PER_S = 600
+DATAGRAMS_PER_S = 300
 SERVERS_WITH_WORK = 8
 DATAGRAM_HEADER_BYTES = 28
 # Gateways that are told of a stream, and how long they hold it: for twice the longest
