Date reports from before a pause by when they arrived

What could happen: a gateway that was held up for some seconds then reads what other gateways have sent meanwhile. Their messages state ages, so that what was said before a limit was named seemed to be newer: it ended the limit, or put a higher one in its place, until an answer named it again; and gateways that had gone counted as reachable, so that permits were asked of them.

Cause: ages were subtracted from the time of reading.

Change: the periodic work notices that the process was held up; ages of limits and departures then count from the earliest time at which the message can have arrived.

Evidence: roles/pauses_test.py, 6 tests, 3 of them red with the former limits.py; a report that has not waited still ends a limit.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -26,6 +26,7 @@
     metrics,
     milestones,
     origins,
+    pauses,
     registry,
     subscription,
 )
@@ -144,6 +145,7 @@
         self.origins = origins.OriginTracker(self)
         self.documents = documents.DocumentReader(self)
         self.limits = limits.LimitDesk(self)
+        self.pauses = pauses.PauseWatch(TICK_MS, now_ms)
         self.knows_gateways = False
         self.waiters = {}
         self.is_dispatch_due = False
@@ -419,9 +421,10 @@
         )
         self.crashes.merge(message.name, message.crashes)
         self.limits.apply_reports(message.name, message.limits)
+        sent_ms = now_ms - self.pauses.waited_ms(now_ms)
         for each in message.departures:
             start = each.identity, each.born_ms
-            self.record_departure(start, message.name, now_ms - each.heard_ms_ago)
+            self.record_departure(start, message.name, sent_ms - each.heard_ms_ago)
 
     def state(self, number, with_spent):
         """Return the state that this gateway sends to the others.
@@ -560,6 +563,7 @@
     def tick(self):
         """Run the periodic work: dispatch, gossip, closing of idle connections."""
         now_ms = clock.now_ms()
+        self.pauses.record_tick(now_ms)
         self.dispatch_waiting()
         self.gossip.tick()
         self.crashes.tick(now_ms)
--- a/brasstrail/roles/limits.py
+++ b/brasstrail/roles/limits.py
@@ -124,14 +124,18 @@
         return tuple(itertools.islice(reports, MAX_SHARED))
 
     def apply_reports(self, name, reports):
-        """Apply the limits that another gateway knows; it is reachable."""
+        """Apply the limits that another gateway knows; it is reachable.
+
+        Ages count from when the message arrived, however long it has waited to be read.
+        """
         now_ms = clock.now_ms()
-        self.heard_ms[name] = now_ms
+        arrived_ms = now_ms - self.gateway.pauses.waited_ms(now_ms)
+        self.heard_ms[name] = arrived_ms
         for each in reports:
             limit = limits.Limit(
                 each.per_s if each.is_named else None,
-                now_ms - each.sent_ms_ago,
-                now_ms - each.received_ms_ago,
+                arrived_ms - each.sent_ms_ago,
+                arrived_ms - each.received_ms_ago,
             )
             self.apply(each.identity, each.born_ms, limit, f"reported_by_{name}")
 
