Keep the garbage collector and deadlines out of two tests

A run of the coordination tests beside load failed once by one assertion (its text was lost); the same run was green afterwards. Two causes were found by reading and are shown by a script: Hypothesis has the garbage collector call functions, which the tests of the number of calls count, so that a collection within one of the two compared runs makes them differ; and two property tests had Hypothesis's default deadline of 200 ms instead of the settings that all others share. Which of them it was is not known. Nothing that is asserted changes.

The capacity that a rank's owed requests may use is now a parameter of a choice instead of a mutable field.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -219,14 +219,12 @@
     ----------
     loads : (capacity, running requests) of the usable servers, by the service and the
         software that works are limited to.
-    is_reserved : whether lower ranks must leave capacity to higher ones.
     """
 
     def __init__(self, server_pool, now_ms):
         self.pool = server_pool
         self.now_ms = now_ms
         self.loads = {}
-        self.is_reserved = True
 
     @functools.cached_property
     def accepting(self):
@@ -451,20 +449,22 @@
 
     # Server selection.
 
-    def choose(self, work, tried, now_ms, openings=None):
+    def choose(self, work, tried, now_ms, openings=None, is_owed=False):
         """Return the `Choice` for a request, or None if no server has capacity.
 
         Parameters
         ----------
         tried : the identities of servers that must not be chosen again.
         openings : the `Openings`, if they have been found already.
+        is_owed : whether its rank is owed the request, so that it may use the capacity
+            that is reserved for higher ranks.
         """
         openings = openings or self.find_openings(now_ms)
         best = None
         candidates = 0
         without_permit = []
         self.wanted = []
-        if not self.has_capacity_for_rank(work, now_ms, openings):
+        if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
             return None
         for identity, server in openings.servers.items():
             if identity in tried or not work.may_run_on(server):
@@ -526,8 +526,6 @@
         arrive. The fraction grows with the square of the depth, so the middle ranks
         leave little. Nothing is reserved for ranks without recent requests.
         """
-        if not openings.is_reserved:
-            return True
         active_ranks = sorted(
             rank
             for rank, arrived_ms in self.rank_arrivals_ms.get(work.service, {}).items()
@@ -723,8 +721,8 @@
             if group in blocked:
                 self.add_wants(blocked[group], work.rank)
                 continue
-            openings.is_reserved = ticket not in owed_tickets
-            choice = self.choose(work, tried, now_ms, openings)
+            is_owed = ticket in owed_tickets
+            choice = self.choose(work, tried, now_ms, openings, is_owed)
             if choice is None:
                 if not tried:
                     blocked[group] = self.wanted
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -1,6 +1,7 @@
 """Tests of the pool: capacity limits, queue order and server selection."""
 
 import dataclasses
+import gc
 import sys
 import types
 import unittest
@@ -11,6 +12,7 @@
 from brasstrail.coordination import limits, pool
 from brasstrail.core import catalog, servers
 from brasstrail.settings import settings
+from brasstrail.tools import fuzzing
 
 SINGLE_REQUEST_SLOTS = 1 - pool.ENGINE_QUEUE_REQUESTS
 REGIONS = {"east": "one", "west": "one", "far": "two"}
@@ -273,6 +275,7 @@
 class LoadOfManyGatewaysTest(unittest.TestCase):
     """Gateways that all send requests to the same servers, hundreds of each."""
 
+    @hypothesis.settings(fuzzing.SETTINGS)
     @hypothesis.given(strategies.data())
     def test_totals_are_the_sums_of_the_shares(self, data):
         """Totals are kept up while gateways report and are silent, servers restart."""
@@ -310,18 +313,23 @@
                 self.assertEqual(totals, (count, 7 * count))
 
     def count_calls(self, function):
-        """Return how many functions are called while one runs."""
+        """Return how many functions are called while one runs.
+
+        The garbage collector must not run meanwhile: Hypothesis has it call functions.
+        """
         count = 0
 
         def trace(frame, event, argument):
             nonlocal count
             count += event in ("call", "c_call")
 
+        gc.disable()
         sys.setprofile(trace)
         try:
             function()
         finally:
             sys.setprofile(None)
+            gc.enable()
         return count
 
     def test_choosing_does_not_take_longer_with_more_gateways(self):
--- a/brasstrail/coordination/shares_test.py
+++ b/brasstrail/coordination/shares_test.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 
 from brasstrail.coordination import pool_test, shares
+from brasstrail.tools import fuzzing
 
 TOP, LOW = (1, 1), (1, 3)
 SERVED_MS = 100
@@ -47,6 +48,7 @@
             counted.record_arrival(LOW, now_ms)
             self.assertEqual(counted.owed(LOW), 0)
 
+    @hypothesis.settings(fuzzing.SETTINGS)
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -13,7 +13,9 @@
 gateway sends and receives datagrams does not.
 
 Most states tell only which requests run where, and a newer one of the same gateway
-makes them obsolete. Such a state is kept undecoded until it is needed.
+makes them obsolete. Such a state is kept undecoded until it is needed. Load and
+spending are sent as columns (see `columns`) once all other gateways have told that
+they read them.
 """
 
 import dataclasses
