Allow comments in the soak's check of what streams hold

The trace: the fake server sends its endless answer of blocks of comments, which are whole parts of an event stream (endless_test says so); the gateway passed them on and cut the stream at its time limit (outcome cut_at_time_limit, caller_end cut), as it must.

Blocks of the fake's comments at the beginning of a line are now left out; all else that is no event still breaks the check, also behind such a block (soakcheck_test, red before).

--- a/brasstrail/tools/soakcheck.py
+++ b/brasstrail/tools/soakcheck.py
@@ -51,6 +51,8 @@
 # Hosts that had a fault within this time are left out of checks that need contact.
 CONTACT_LIMIT_S = 4.0
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)/(\d+) (\S+)\n\n")
+# Endless answers of the fake servers have blocks of these, which are part of a stream.
+COMMENTS_PATTERN = re.compile(rb"^(?:: x\n)+\n", re.MULTILINE)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -273,7 +275,8 @@
     for reply in observations.replies:
         if reply.route not in STREAM_ROUTES or reply.status != 200:
             continue
-        rest = reply.stray + EVENT_PATTERN.sub(b"", reply.body)
+        body = COMMENTS_PATTERN.sub(b"", EVENT_PATTERN.sub(b"", reply.body))
+        rest = reply.stray + body
         if rest:
             yield reply.identity, rest[:80]
 
--- a/brasstrail/tools/soakcheck_test.py
+++ b/brasstrail/tools/soakcheck_test.py
@@ -131,6 +131,21 @@
             self.observations.replies = [reply]
             self.assertEqual(self.violated_guarantees(), expected)
 
+    def test_stream_with_comments_holds_nothing_else(self):
+        """A server may send comments; a gateway passes them on, and no other bytes."""
+        for comments, is_allowed in (
+            (b": x\n\n: x\n: x\n\n", True),
+            (b": x\n\nHTTP/1.1 500 Failed\r\n", False),
+            (b"no comment: x\n\n", False),
+        ):
+            reply = make_stream(1, 2, is_complete=False)
+            reply.body += comments
+            self.observations.replies = [reply]
+            expected = (
+                set() if is_allowed else {"a stream holds nothing but its events"}
+            )
+            self.assertEqual(self.violated_guarantees(), expected)
+
     def test_lost_request(self):
         expected = {"what was read is answered"}
         lost = make_reply(status=0, is_complete=False)
