Raise a typed error for a damaged field of a state

What could happen: a state of a known gateway whose bytes are damaged raised the library's error out of the reader of datagrams; the rest of its batch, up to 256 datagrams, was lost.

Cause: reads some fields before the record is decoded, outside of the conversion of errors that decoding has.

Change: Opened.read raises errors.BadRequest as decode does, which is logged.

Evidence: gossip_test, each byte of a state replaced by four values: red before (KjException), green after.

--- a/brasstrail/protocol/codec.py
+++ b/brasstrail/protocol/codec.py
@@ -219,8 +219,14 @@
         return self.codec.record is record
 
     def read(self, field_name):
-        """Return a scalar field, or the library's reader of a list."""
-        return getattr(self.reader, schema.camel_case(field_name))
+        """Return a scalar field, or the library's reader of a list.
+
+        Raises `errors.BadRequest` as `decode` does.
+        """
+        try:
+            return getattr(self.reader, schema.camel_case(field_name))
+        except DECODE_ERRORS as error:
+            raise decoding_error(error) from error
 
     def load(self):
         """Return the record. Raises `errors.BadRequest` as `decode` does."""
--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -38,6 +38,9 @@
     def apply_peer_start(self, name):
         """Do nothing."""
 
+    def apply_peer_message(self, message, name):
+        """Do nothing."""
+
     def dispatch_soon(self):
         """Do nothing."""
 
@@ -162,6 +165,20 @@
         self.assertEqual(member.gateway.received, [])
         self.assertEqual(member.pending, {})
 
+    def test_states_with_a_damaged_byte_raise_nothing(self):
+        """Guards against the rest of a batch that is lost with one bad datagram."""
+        spent = (messages.Spent("workspace", 1.0),)
+        state = messages.GatewayState("ax1", 1, 1, (), spent)
+        payload = codec.encode_packed(codec.MESSAGE, state)
+        member = self.members["ax0", 1]
+        member.hub.log = mock.Mock()
+        for position in range(len(payload)):
+            for value in (0x00, 0x01, 0x7F, 0xFF):
+                damaged = bytearray(payload)
+                damaged[position] = value
+                member.datagram_received(bytes(damaged), ("ax1", 1))
+                member.apply_all_pending()
+
     def test_receive_rate_does_not_grow_with_gateway_count(self):
         node = types.SimpleNamespace(region="a", data_centre="ax")
         for region in ("a", "b"):
