Log late permits and unused choices, and count unsent datagrams

What on call could not see: a permit that was given back because it came too late, a chosen server that was not used (it rests, leaves, or the permit ran out; so far silent), and datagrams that the operating system did not take, which were counted without a metric.

Change: a log line for each of the first two, the gauge gateway_datagrams_unsent.

--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -277,8 +277,9 @@
                 if failure is None:
                     raise
                 return self.relay_failure(failure)
-            except refusals.ServerUnavailable:
+            except refusals.ServerUnavailable as error:
                 self.tried.discard(choice.identity)
+                self.log_unused_choice(choice, error)
             except refusals.NotRun as error:
                 self.record_failure(choice, error)
                 self.check_retry_not_run(error)
@@ -490,6 +491,15 @@
             **limit,
         )
 
+    def log_unused_choice(self, choice, error):
+        """Log that a chosen server was not sent the request; it is chosen again."""
+        self.gateway.log.info(
+            "forwarding: A chosen server was not used.",
+            id=self.identity,
+            server=choice.identity,
+            reason=error.reason,
+        )
+
     def log_left_out(self, work):
         """Log the servers that the software of a stream's first event excludes."""
         if work.software is None:
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -591,6 +591,7 @@
         gauge("gateway_servers_leaving", lambda: len(self.leaving_servers()))
         gauge("gateway_servers_resting", lambda: len(self.resting_servers()))
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
+        gauge("gateway_datagrams_unsent", lambda: self.gossip.datagrams_unsent)
         self.crashes.register_gauges(gauge)
         self.origins.register_gauges(gauge)
         self.limits.register_gauges(gauge)
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -221,6 +221,11 @@
         """Whether all other gateways have told that they read columns."""
         return self.peers.keys() <= self.column_readers
 
+    @property
+    def datagrams_unsent(self):
+        """How many datagrams the operating system did not take."""
+        return self.transport.unsent if self.transport is not None else 0
+
     def send_soon(self):
         """Schedule the state to be sent after the batch delay."""
         for group in (self.own_region, self.other_regions):
--- a/brasstrail/roles/limits.py
+++ b/brasstrail/roles/limits.py
@@ -211,6 +211,12 @@
         if not is_same or not server.is_limited:
             return
         if asked_ms is None or now_ms - asked_ms > MAX_GRANT_DELAY_MS:
+            self.log.info(
+                "limits: A permit came too late and is given back.",
+                server=message.identity,
+                coordinator=name,
+                asked_ms_ago=None if asked_ms is None else now_ms - asked_ms,
+            )
             self.give_back(key, name)
             return
         server.permits.append(
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -115,6 +115,7 @@
     gauge("gateway_lease_age_ms", "ms", "Age of the lease; -1: there was none."),
     gauge("gateway_connections_opened", "connections", "Opened to servers so far."),
     gauge("gateway_datagrams", "datagrams", "Sent to other gateways so far."),
+    gauge("gateway_datagrams_unsent", "datagrams", "Not taken by the system so far."),
     # All processes.
     gauge("log_lines_left_out", "lines", "Log lines left out under load so far."),
     gauge("peer_bytes_sent_within", "bytes", "Sent to processes of the same region."),
