Send crashes once when they are new, and dispatch once a batch

Change: a state has the crashes that changed since the state before, and twice a second all of the last second and some others, so that a lost datagram does not matter (they were repeated four times a second).

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -83,7 +83,8 @@
 # Crashes in one message to other gateways: those that this gateway saw or changed in
 # the last second, so that a lost datagram does not matter, and up to `MAX_CRASHES` of
 # a few contents, at the limit and others, for gateways that have started or were cut
-# off. A gateway is sent at most four such messages a second by each other one.
+# off. A gateway is sent two such messages a second by each other one, and between them
+# what has changed since the last message.
 RECENT_CHANGE_MS = 1000
 MAX_CHANGES = 256
 MAX_RECENT_SHARED = 80
@@ -630,9 +631,24 @@
 
     # Exchange with other gateways.
 
-    def shared_records(self, now_ms):
-        """Return the (`Crash`, `Evidence`) pairs for the next message to the others."""
-        chosen = dict.fromkeys(self.recent_changes(now_ms))
+    def shared_records(self, now_ms, since_ms=None):
+        """Return the (`Crash`, `Evidence`) pairs for the next message to the others.
+
+        Those that have changed since `since_ms`; without it all recent changes, and
+        some of the others.
+        """
+        chosen = dict.fromkeys(self.recent_changes(now_ms, since_ms or 0))
+        if since_ms is None:
+            chosen.update(dict.fromkeys(self.draw_records(now_ms)))
+        return [
+            (crash, self.by_content[crash.content][crash])
+            for crash in chosen
+            if self.is_shared(crash, now_ms)
+        ]
+
+    def draw_records(self, now_ms):
+        """Return some `Crash`es of those that are told again and again."""
+        chosen = {}
         for contents, count in (
             (self.contents_at_limit(now_ms), MAX_HELD_SHARED),
             (list(self.by_content), MAX_OTHERS_SHARED),
@@ -645,11 +661,7 @@
                 -partsuspects.MAX_UNCERTAIN_CRASHES :
             ]
             chosen.update(dict.fromkeys(latest))
-        return [
-            (crash, self.by_content[crash.content][crash])
-            for crash in chosen
-            if self.is_shared(crash, now_ms)
-        ]
+        return list(chosen)
 
     def latest_records(self, now_ms):
         """Return the (`Crash`, `Evidence`) pairs that a new gateway has to know.
@@ -670,13 +682,20 @@
         )
         return records[:MAX_TOLD]
 
-    def recent_changes(self, now_ms):
-        """Return the crashes that this gateway changed lately, the latest first."""
+    def recent_changes(self, now_ms, since_ms=0):
+        """Return the crashes that this gateway changed lately, the latest first.
+
+        `since_ms` leaves out those that have not changed since then.
+        """
         recent = {}
         for changes in (self.changes, self.part_changes):
             while changes and now_ms - changes[0][0] > RECENT_CHANGE_MS:
                 changes.popleft()
-            recent.update(dict.fromkeys(crash for _, crash in reversed(changes)))
+            recent.update(
+                dict.fromkeys(
+                    crash for at_ms, crash in reversed(changes) if at_ms >= since_ms
+                )
+            )
         return list(recent)[:MAX_RECENT_SHARED]
 
     def is_shared(self, crash, now_ms):
--- a/brasstrail/coordination/suspects_test.py
+++ b/brasstrail/coordination/suspects_test.py
@@ -323,6 +323,16 @@
         self.assertEqual(table.contents_at_limit(1001), [])
         self.assertTrue(table.shared_records(1001))
 
+    def test_new_crashes_alone_are_shared_between_whole_messages(self):
+        """Guards against messages that repeat a second of crashes with each new one."""
+        table = self.gateway.suspects
+        for now_ms in (1000, 1400, 1800):
+            self.gateway.crash(f"c{now_ms}", now_ms)
+        fresh = [crash.content for crash, _ in table.shared_records(1800, 1800)]
+        self.assertEqual(fresh, ["c1800"])
+        whole = {crash.content for crash, _ in table.shared_records(1800)}
+        self.assertEqual(whole, {"c1000", "c1400", "c1800"})
+
     def test_given_up_runs_are_bounded(self):
         table = self.gateway.suspects
         kept = self.gateway.begin("c", 0, "victim")
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -577,6 +577,7 @@
         """Let each gateway send its whole state to the others, and deliver it."""
         for each in self.gateways.values():
             each.gossip.own_region.last_spent_ms = -gossip.SPENT_INTERVAL_MS
+            each.gossip.own_region.last_crashes_ms = -gossip.CRASHES_INTERVAL_MS
             each.gossip.send(each.gossip.own_region)
             each.gossip.send(each.gossip.other_regions)
         self.deliver()
--- a/brasstrail/roles/columns_test.py
+++ b/brasstrail/roles/columns_test.py
@@ -70,12 +70,12 @@
         ]
 
     async def test_columns_are_sent_once_all_others_read_them(self):
-        self.assertEqual(len(self.first.state(1, False).shares), 1)
+        self.assertEqual(len(self.first.state(1, False, None).shares), 1)
         self.exchange()
-        self.assertEqual(self.first.state(1, False).shares, ())
-        self.assertEqual(self.first.state(1, False).identities, ("s-0",))
+        self.assertEqual(self.first.state(1, False, None).shares, ())
+        self.assertEqual(self.first.state(1, False, None).identities, ("s-0",))
         self.first.allotments.spent["w"] = 7.0
-        self.assertEqual(self.first.state(1, True).workspaces, ("w",))
+        self.assertEqual(self.first.state(1, True, None).workspaces, ("w",))
         self.exchange()
         self.assertEqual(self.known_running(), [1, 1])
         known = self.platform.gateways["g1"].allotments.peers["g0"]
@@ -88,7 +88,7 @@
         payload = codec.encode_packed(codec.MESSAGE, restarted)
         self.first.gossip.datagram_received(payload, ("g1", 1))
         self.first.gossip.apply_all_pending()
-        state = self.first.state(1, False)
+        state = self.first.state(1, False, None)
         self.assertEqual([each.identity for each in state.shares], ["s-0"])
         self.assertEqual(state.identities, ())
 
--- a/brasstrail/roles/crashes.py
+++ b/brasstrail/roles/crashes.py
@@ -198,7 +198,7 @@
             self.withdraw(identity, born_ms, 0, asked_ms, "probe")
         elif state is not starts.StartState.UNKNOWN:
             self.suspects.confirm(identity, born_ms, clock.now_ms())
-            self.gateway.gossip.send_crashes_soon()
+            self.gateway.gossip.send_soon()
 
     def withdraw(self, server, born_ms, since_ms, until_ms, reason):
         """Record that a server has lived on from one time to another."""
@@ -213,14 +213,17 @@
                 withdrawn=count,
                 reason=reason,
             )
-            self.gateway.gossip.send_crashes_soon()
+            self.gateway.gossip.send_soon()
 
     # Exchange with other gateways.
 
-    def reports(self):
-        """Return the `messages.CrashReport`s to send to the other gateways."""
+    def reports(self, since_ms=None):
+        """Return the `messages.CrashReport`s to send to the other gateways.
+
+        Those of what has changed since `since_ms`, or all that are told at times.
+        """
         now_ms = clock.now_ms()
-        records = self.suspects.shared_records(now_ms)
+        records = self.suspects.shared_records(now_ms, since_ms)
         return tuple(make_report(*each, now_ms) for each in records)
 
     def tell_started_peer(self, name):
@@ -332,7 +335,7 @@
             self.log_crash(crash, reason, 0, run)
             self.gateway.metrics.count("gateway_crashes", reason=reason)
         if found:
-            self.gateway.gossip.send_crashes_soon()
+            self.gateway.gossip.send_soon()
 
     def log_crash(self, crash, reason, age_ms, run=None):
         """Log a new crash and how many are known of the request.
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -34,9 +34,6 @@
 
 TICK_MS = 50
 IDLE_SWEEP_INTERVAL_MS = 500
-# Waiting requests are dispatched this long after news of other gateways: a fraction of
-# the delay with which these are sent.
-DISPATCH_DELAY_S = 0.02
 # Backend servers announce themselves at an interval that the users of the system chose.
 # Each does so at least once within this time, which is the default of the setting
 # `control.announce_interval_ms`.
@@ -113,7 +110,6 @@
     catalog : `catalog.Catalog` of the newest document, or None before the first one.
     used_version : the newest document version that a request was admitted with.
     waiters : futures of requests that wait for a server, by ticket of the pool.
-    is_dispatch_due : whether `dispatch_delayed` is scheduled.
     running : `forwarding.ForwardedRequest` by task.
     knows_gateways : whether control hosts have told which gateways there are.
     held_bytes : the total size of the bodies of running requests.
@@ -148,7 +144,6 @@
         self.pauses = pauses.PauseWatch(TICK_MS, now_ms)
         self.knows_gateways = False
         self.waiters = {}
-        self.is_dispatch_due = False
         self.running = {}
         self.held_bytes = 0
         self.stopping_since_ms = None
@@ -426,22 +421,23 @@
             start = each.identity, each.born_ms
             self.record_departure(start, message.name, sent_ms - each.heard_ms_ago)
 
-    def state(self, number, with_spent):
+    def state(self, number, with_spent, crashes_since_ms):
         """Return the state that this gateway sends to the others.
 
         Parameters
         ----------
         number : the sequence number of the message.
-        with_spent : whether to include the allotment usage and the crashes.
+        with_spent : whether to include the allotment usage.
+        crashes_since_ms : since when crashes have changed that are included, or None
+            for all that are told at times.
         """
-        crash_reports = self.crashes.reports() if with_spent else ()
         spent = self.allotments.spent if with_spent else {}
         as_columns = self.gossip.all_read_columns
         return messages.GatewayState(
             self.hub.name,
             self.hub.incarnation,
             number,
-            crashes=crash_reports,
+            crashes=self.crashes.reports(crashes_since_ms),
             limits=self.limits.reports(),
             departures=self.departure_reports(),
             reads_columns=True,
@@ -538,17 +534,6 @@
         if wants:
             self.limits.ask(wants)
 
-    def dispatch_soon(self):
-        """Dispatch after a short delay, in which more states of others may arrive."""
-        if self.pool.waiting and not self.is_dispatch_due:
-            self.is_dispatch_due = True
-            self.hub.loop.call_later(DISPATCH_DELAY_S, self.dispatch_delayed)
-
-    def dispatch_delayed(self):
-        """Dispatch once the delay is over."""
-        self.is_dispatch_due = False
-        self.dispatch_waiting()
-
     def has_room(self, work, tried):
         """Return whether a server that was not tried could run a work at once."""
         self.gossip.apply_all_pending()
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -35,10 +35,12 @@
 # servers most of its requests go, and those of the other regions.
 OWN_REGION_DATAGRAMS_PER_SECOND = 200
 OTHER_REGIONS_DATAGRAMS_PER_SECOND = 100
-# Allotment usage and the crashes of servers are sent less often than the rest of the
-# state: the allotment slack covers several seconds of usage, and new crashes are sent
-# at once.
+# Allotment usage is sent less often than the rest of the state: the allotment slack
+# covers several seconds of usage.
 SPENT_INTERVAL_MS = 250
+# New crashes of servers are in the next state. All of the last second are sent again
+# at this interval, so that a lost datagram does not matter.
+CRASHES_INTERVAL_MS = 500
 KEEPALIVE_MS = 1000
 MAX_DATAGRAM_BYTES = 60_000
 # Fields of a state that must not be lost to a newer state.
@@ -155,6 +157,7 @@
         self.is_scheduled = False
         self.last_sent_ms = 0
         self.last_spent_ms = 0
+        self.last_crashes_ms = 0
 
 
 class Gossip:
@@ -163,15 +166,16 @@
     Parameters
     ----------
     hub : `hub.Hub` of the process.
-    gateway : provides `state(number, with_spent)` and receives
+    gateway : provides `state(number, with_spent, crashes_since_ms)` and receives
         `apply_peer_state(message)`, `apply_peer_start(name)` when a gateway is new or
         has started again, `apply_peer_message(message, name)` for all others, and
-        `dispatch_soon()` after each state.
+        `dispatch_waiting()` after a batch of datagrams with states.
 
     Attributes
     ----------
     transport : `datagrams.DatagramSocket`, or None before it is opened.
     peers : `Peer` of the other gateways by name.
+    has_states : whether the present batch of datagrams has had a state.
     pending : the newest state that is not applied yet, as `codec.Opened`, by gateway.
     column_readers : the names of the gateways that read the columns of a state.
     latest_received : the highest (incarnation, number) received, by gateway name.
@@ -192,6 +196,7 @@
             lambda: self.topology.other_region_targets(),
             lambda: self.topology.other_regions_batch_delay_s(),
         )
+        self.has_states = False
         self.pending = {}
         self.column_readers = set()
         self.latest_received = {}
@@ -202,7 +207,10 @@
         """Open the socket."""
         node = self.hub.settings.node
         self.transport = datagrams.DatagramSocket(
-            self.hub.loop, (node.address, node.peer_port), self.datagram_received
+            self.hub.loop,
+            (node.address, node.peer_port),
+            self.datagram_received,
+            self.end_batch,
         )
 
     def close(self):
@@ -233,12 +241,6 @@
                 group.is_scheduled = True
                 self.hub.loop.call_later(group.batch_delay_s(), self.send, group)
 
-    def send_crashes_soon(self):
-        """Schedule the state to be sent, with the crashes of servers."""
-        for group in (self.own_region, self.other_regions):
-            group.last_spent_ms = -SPENT_INTERVAL_MS
-        self.send_soon()
-
     def tick(self):
         """Send the state to each group that was sent nothing for `KEEPALIVE_MS`."""
         for group in (self.own_region, self.other_regions):
@@ -249,14 +251,18 @@
         """Send the state to a group."""
         group.is_scheduled = False
         now_ms = clock.now_ms()
-        group.last_sent_ms = now_ms
+        last_sent_ms, group.last_sent_ms = group.last_sent_ms, now_ms
         if self.transport is None or self.transport.is_closing():
             return
         self.number += 1
         with_spent = now_ms - group.last_spent_ms >= SPENT_INTERVAL_MS
         if with_spent:
             group.last_spent_ms = now_ms
-        state = self.gateway.state(self.number, with_spent)
+        crashes_since_ms = last_sent_ms
+        if now_ms - group.last_crashes_ms >= CRASHES_INTERVAL_MS:
+            group.last_crashes_ms = now_ms
+            crashes_since_ms = None
+        state = self.gateway.state(self.number, with_spent, crashes_since_ms)
         payload = codec.encode_packed(codec.MESSAGE, state)
         if len(payload) > MAX_DATAGRAM_BYTES:
             self.hub.log.error("gossip: The state is too large.", bytes=len(payload))
@@ -311,7 +317,13 @@
             self.gateway.apply_peer_start(name)
         if any(len(opened.read(field)) for field in NEWS_FIELDS):
             self.apply_pending(name)
-        self.gateway.dispatch_soon()
+        self.has_states = True
+
+    def end_batch(self):
+        """Dispatch waiting requests once for all states of a batch of datagrams."""
+        if self.has_states:
+            self.has_states = False
+            self.gateway.dispatch_waiting()
 
     def apply_all_pending(self):
         """Apply all states that were kept."""
--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -31,6 +31,8 @@
     def __init__(self, name):
         self.name = name
         self.received = []
+        self.dispatches = 0
+        self.crashes_since_ms = []
 
     def apply_peer_state(self, message):
         self.received.append(message.name)
@@ -41,10 +43,11 @@
     def apply_peer_message(self, message, name):
         """Do nothing."""
 
-    def dispatch_soon(self):
-        """Do nothing."""
+    def dispatch_waiting(self):
+        self.dispatches += 1
 
-    def state(self, number, with_spent):
+    def state(self, number, with_spent, crashes_since_ms):
+        self.crashes_since_ms.append(crashes_since_ms)
         return messages.GatewayState(self.name, 1, number, (), ())
 
 
@@ -141,6 +144,25 @@
         member.apply_all_pending()
         self.assertEqual(member.gateway.received, ["ax1"])
 
+    def test_states_of_a_batch_lead_to_one_dispatch(self):
+        """Guards against a comparison of all servers for each state of a fleet."""
+        for number in range(1, 20):
+            member = self.receive(number)
+        self.assertEqual(member.gateway.dispatches, 0)
+        member.end_batch()
+        member.end_batch()
+        self.assertEqual(member.gateway.dispatches, 1)
+
+    def test_new_crashes_are_sent_at_once_and_all_at_intervals(self):
+        member = self.members["ax0", 1]
+        now_ms = 10_000
+        with mock.patch.object(gossip.clock, "now_ms", lambda: now_ms):
+            for elapsed_ms in (0, 100, 100, 300, 100):
+                now_ms += elapsed_ms
+                member.send(member.own_region)
+        expected = [None, 10_000, 10_100, None, 10_500]
+        self.assertEqual(member.gateway.crashes_since_ms, expected)
+
     def test_news_are_not_lost_to_a_newer_state(self):
         """Guards against spending and crashes that a kept state never tells."""
         self.receive(1)
--- a/brasstrail/transport/datagrams.py
+++ b/brasstrail/transport/datagrams.py
@@ -23,6 +23,7 @@
     loop : the event loop.
     address : the local (host, port).
     receive : called with each payload and the (host, port) that it came from.
+    end_batch : called after the datagrams that were read at once.
 
     Attributes
     ----------
@@ -31,9 +32,10 @@
     unsent : how many datagrams the operating system did not take.
     """
 
-    def __init__(self, loop, address, receive):
+    def __init__(self, loop, address, receive, end_batch):
         self.loop = loop
         self.receive = receive
+        self.end_batch = end_batch
         self.is_watched = False
         self.timer = None
         self.unsent = 0
@@ -65,6 +67,7 @@
             for payload, address in self.arrived():
                 count += 1
                 self.receive(payload, address)
+            self.end_batch()
         finally:
             if not self.is_closing():
                 self.schedule_read(has_read=count > 0)
--- a/brasstrail/transport/datagrams_test.py
+++ b/brasstrail/transport/datagrams_test.py
@@ -14,16 +14,21 @@
     async def asyncSetUp(self):
         self.received = []
         self.loop = asyncio.get_running_loop()
-        self.reads = 0
+        self.reads = self.batches = 0
         self.target = self.open(self.record)
         self.source = self.open(self.record)
         self.address = self.target.socket.getsockname()
 
     def open(self, receive):
-        opened = datagrams.DatagramSocket(self.loop, LOCAL_ADDRESS, receive)
+        opened = datagrams.DatagramSocket(
+            self.loop, LOCAL_ADDRESS, receive, self.count_batch
+        )
         self.addCleanup(opened.close)
         return opened
 
+    def count_batch(self):
+        self.batches += 1
+
     def record(self, payload, address):
         self.received.append((payload, address))
 
@@ -55,6 +60,7 @@
             self.source.sendto(b"x", self.address)
         await self.wait_for(100)
         self.assertLessEqual(self.reads, 3)
+        self.assertEqual(self.batches, self.reads)
 
     async def test_socket_is_watched_again_after_a_pause(self):
         self.source.sendto(b"first", self.address)
@@ -95,7 +101,9 @@
 
     async def test_address_in_use_is_an_error(self):
         with self.assertRaises(OSError):
-            datagrams.DatagramSocket(self.loop, self.address, self.record)
+            datagrams.DatagramSocket(
+                self.loop, self.address, self.record, self.count_batch
+            )
 
 
 if __name__ == "__main__":
