--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -141,6 +141,7 @@
     Attributes
     ----------
     silent : whether the server has missed several announcements.
+    capacity : how many requests may be at the server at the same time.
     awaiting_first_answer : work without a first answer so far, by identity.
     running : all work that this gateway runs on the server, by identity.
     others : the `LoadTotal` of the other gateways.
@@ -156,6 +157,7 @@
 
     announcement: servers.Announcement
     silent: bool = False
+    capacity: float = 0.0
     awaiting_first_answer: dict = dataclasses.field(default_factory=dict)
     running: dict = dataclasses.field(default_factory=dict)
     others: LoadTotal = dataclasses.field(default_factory=LoadTotal)
@@ -239,8 +241,8 @@
     def servers(self):
         """The servers that have room, by identity; found when first needed."""
         return {
-            server.announcement.identity: server
-            for server in self.pool.servers.values()
+            identity: server
+            for identity, server in self.pool.servers.items()
             if self.pool.has_capacity(server, self.now_ms)
             and self.pool.is_accepting(server, self.now_ms)
         }
@@ -254,8 +256,14 @@
 
     def record_start(self, identity):
         """Take note that a work was dispatched to a server."""
-        self.loads = {}
-        if not self.pool.has_capacity(self.servers[identity], self.now_ms):
+        server = self.servers[identity]
+        for (service, software), (capacity, running) in list(self.loads.items()):
+            announcement = server.announcement
+            if service == announcement.service and (
+                software is None or software == announcement.software
+            ):
+                self.loads[service, software] = capacity, running + 1
+        if not self.pool.has_capacity(server, self.now_ms):
             del self.servers[identity]
 
 
@@ -306,6 +314,8 @@
     def configure(self, services):
         """Set the services from a catalog."""
         self.engines = {each.name: each.engine for each in services}
+        for server in self.servers.values():
+            server.capacity = self.find_capacity(server.announcement)
 
     def put_server(self, announcement, silent):
         """Add, update or remove a server as control hosts report it.
@@ -319,10 +329,10 @@
             return
         if server is None or server.announcement.born_ms != announcement.born_ms:
             self.remove_server(announcement.identity)
-            self.servers[announcement.identity] = Server(announcement, silent)
-            return
+            server = self.servers[announcement.identity] = Server(announcement)
         server.announcement = announcement
         server.silent = silent
+        server.capacity = self.find_capacity(announcement)
 
     def born_ms(self, identity):
         """Return when a server's present start began, or 0 if it is not known."""
@@ -565,7 +575,7 @@
 
     def usable_part(self, server, service):
         """Return how many requests a server runs at once, within its limit."""
-        capacity = self.capacity(server)
+        capacity = server.capacity
         if not server.is_limited:
             return capacity
         rate_per_s = max(limits.MIN_RATE_PER_S, server.limit.per_s)
@@ -573,17 +583,18 @@
 
     def is_accepting(self, server, now_ms):
         """Return whether a server accepts new works now, whatever they are."""
-        is_backing_off = now_ms < server.backoff_until_ms
-        return (
-            not is_backing_off
-            and self.is_ready(server)
-            and self.rests.until_ms(server.start, now_ms) is None
+        if now_ms < server.backoff_until_ms or not self.is_ready(server):
+            return False
+        is_resting = self.rests.known and (
+            self.rests.until_ms(server.start, now_ms) is not None
         )
+        return not is_resting
 
     def is_ready(self, server):
         """Return whether a server takes new requests, now or after its rest."""
-        is_announced = server.announcement.phase is servers.ServerPhase.READY
-        return is_announced and server.start not in self.departures
+        if server.announcement.phase is not servers.ServerPhase.READY:
+            return False
+        return not (self.departures.known and server.start in self.departures)
 
     def has_servers(self, work, tried=()):
         """Return whether any server is known to be ready that may run a work.
@@ -608,11 +619,11 @@
         """Return how many requests all gateways run on a server."""
         return len(server.running) + server.others.running
 
-    def capacity(self, server):
+    def find_capacity(self, announcement):
         """Return how many requests may be at a server at the same time."""
-        if self.engines.get(server.announcement.service) is not None:
-            return server.announcement.slots + ENGINE_QUEUE_REQUESTS
-        return server.announcement.slots * PLAIN_REQUESTS_PER_SLOT
+        if self.engines.get(announcement.service) is not None:
+            return announcement.slots + ENGINE_QUEUE_REQUESTS
+        return announcement.slots * PLAIN_REQUESTS_PER_SLOT
 
     def has_capacity(self, server, now_ms):
         """Return whether one more request may be dispatched to a server.
@@ -620,15 +631,17 @@
         An engine prefills one prompt after the other. Prompts in its queue can no
         longer be reordered, so a prompt is sent only while the backlog is short.
         """
-        if self.total_running(server) >= self.capacity(server):
+        if self.total_running(server) >= server.capacity:
             return False
-        if self.rests.is_tried(server.start, now_ms):
+        if self.rests.known and self.rests.is_tried(server.start, now_ms):
             return False
         backlog_ms = self.pending_prefill_tokens(server) / DEFAULT_PREFILL_TOKENS_PER_MS
         return backlog_ms * server.slowdown <= MAX_PREFILL_BACKLOG_MS
 
     def pending_prefill_tokens(self, server):
         """Return the prompt tokens that a server has yet to prefill."""
+        if not server.awaiting_first_answer:
+            return server.others.input_tokens
         own_tokens = sum(
             work.input_tokens for work in server.awaiting_first_answer.values()
         )
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -343,6 +343,36 @@
             counts.append(self.count_calls(lambda: gateway_pool.choose(work, (), 0)))
         self.assertEqual(counts[0], counts[1])
 
+    def test_load_is_kept_up_while_requests_are_dispatched(self):
+        """The load that is found once equals the one that is counted anew."""
+        gateway_pool = make_pool(
+            *(announce(f"s{n}", version=f"v{n % 2}") for n in range(6))
+        )
+        openings = gateway_pool.find_openings(0)
+        works = [
+            dataclasses.replace(make_work(f"w{software}"), software=software)
+            for software in (None, "v0", "v1", "")
+        ]
+        for number in range(12):
+            for work in works:
+                self.assertEqual(
+                    openings.load(work), gateway_pool.usable_capacity(work, 0)
+                )
+            work = dataclasses.replace(works[number % 3], identity=str(number))
+            choice = gateway_pool.choose(work, (), 0, openings)
+            gateway_pool.add_running(choice.identity, work)
+            openings.record_start(choice.identity)
+
+    def test_capacity_follows_announcements_and_documents(self):
+        gateway_pool = make_pool(announce("a", slots=4))
+        engine_capacity = 4 + pool.ENGINE_QUEUE_REQUESTS
+        self.assertEqual(gateway_pool.servers["a"].capacity, engine_capacity)
+        gateway_pool.put_server(announce("a", slots=6), False)
+        self.assertEqual(gateway_pool.servers["a"].capacity, engine_capacity + 2)
+        gateway_pool.configure((catalog.Service("llm", 100, "", None),))
+        plain_capacity = 6 * pool.PLAIN_REQUESTS_PER_SLOT
+        self.assertEqual(gateway_pool.servers["a"].capacity, plain_capacity)
+
     def test_queue_before_full_servers_costs_one_pass_over_the_servers(self):
         """Guards against a comparison of all servers for each request that waits."""
         counts = []
