Count a request once in the shares of ranks

What could happen: a rank whose requests are turned away and sent again counted each sending as one served, and so seemed to get its share while it got nothing.

Cause: starts were counted with each dispatch, arrivals once.

Change: the first dispatch counts. Evidence: shares_test, red before (3 starts for one arrival), green after. The comments of the bounds name their reasons.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -747,6 +747,8 @@
             if choice.permit is not None:
                 self.servers[choice.identity].permits.popleft()
             self.record_start(work, now_ms)
+            if not tried:
+                self.rank_shares[work.service].record_start(work.rank, now_ms)
             dispatches.append((ticket, choice))
         return dispatches
 
@@ -779,7 +781,6 @@
 
     def record_start(self, work, now_ms):
         """Record a start, from which the start rate of a service is measured."""
-        self.rank_shares[work.service].record_start(work.rank, now_ms)
         self.recent_starts.append((now_ms, work.service, work.rank))
         while (
             self.recent_starts
--- a/brasstrail/coordination/shares.py
+++ b/brasstrail/coordination/shares.py
@@ -23,18 +23,22 @@
 LEAST_FRACTION = 0.28
 # How long a rank may be behind before it is owed anything.
 MAX_BEHIND_MS = 10_000
-# What a rank is owed with each arrival then, and at most at once, in requests.
+# What a rank is owed with each arrival then, in requests: a little more than it is due,
+# so that it catches up; and at most at once, at each gateway.
 OWED_BY_ARRIVAL = 0.4
 MAX_OWED = 1.0
-# Time constant of the counts.
+# Time constant of the counts: a rank is not starved that gets its share in a minute.
 COUNT_DECAY_MS = 60_000.0
-# Fewer arrivals of a rank than this say nothing about what it gets.
+# Requests of a rank from which what it gets is judged.
 MIN_ARRIVALS = 8.0
 
 
 @dataclasses.dataclass
 class Counts:
-    """Decayed counts of the requests that have arrived and that were dispatched."""
+    """Decayed counts of the requests that have arrived and that were dispatched.
+
+    A request counts once, however often it is sent.
+    """
 
     arrivals: float = 0.0
     starts: float = 0.0
@@ -90,7 +94,7 @@
             self.behind_since_ms.pop(rank, None)
 
     def record_start(self, rank, now_ms):
-        """Record that a request was dispatched to a server."""
+        """Record that a request was dispatched to a server for the first time."""
         self.decay(now_ms)
         counts = self.by_rank.setdefault(rank, Counts())
         self.all_ranks.starts += 1.0
--- a/brasstrail/coordination/shares_test.py
+++ b/brasstrail/coordination/shares_test.py
@@ -124,6 +124,22 @@
         top, _, _ = self.play(20, top_interval_ms=100)
         self.assertEqual(top, 1.0)
 
+    def test_request_that_is_sent_again_counts_once(self):
+        """Guards against a rank that seems served as its requests are sent often."""
+        gateway_pool = pool_test.make_pool(
+            *(pool_test.announce(name) for name in "abc")
+        )
+        work = pool_test.make_work("w", LOW, tokens=1)
+        gateway_pool.record_arrival(work)
+        tried = frozenset()
+        for now_ms in range(3):
+            gateway_pool.enqueue(work, tried)
+            ((_, choice),) = gateway_pool.dispatch_waiting(now_ms)
+            gateway_pool.remove_running(choice.identity, work)
+            tried |= {choice.identity}
+        counts = gateway_pool.rank_shares["llm"].by_rank[LOW]
+        self.assertAlmostEqual(counts.starts, counts.arrivals, places=3)
+
     def test_request_that_is_owed_is_not_refused_for_the_queue_before_it(self):
         gateway_pool = pool_test.make_pool(pool_test.announce("a", slots=4))
         for number in range(30):
