--- a/review/4/restart.py
+++ b/review/4/restart.py
@@ -35,7 +35,7 @@
         if request["target"] != FATAL:
             await asyncio.sleep(0.0225)
             return 200, b"x" * 800
-        if server.number == 0 and self.is_grey:
+        if self.is_grey:
             self.is_grey = False
             server.record.write(f"{server.identity} fails {request['id']} with 500")
             return 500, b"failed"
