--- a/review/lib.py
+++ b/review/lib.py
@@ -826,7 +826,8 @@
     record.write(f"TROUBLE={int(TROUBLE)}")
     try:
         code = asyncio.run(asyncio.wait_for(play(record), limit_s))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:
+        # Whatever stops the script says nothing about the rule.
         record.say(f"the case could not run: {error!r}")
         code = NOT_RUN
     record.say({0: "the rule held", 1: "the rule is broken", 2: "not run"}[code])
