--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,8 @@
-"""All requests of one client are left at once, and the servers' places are lost.
+"""All requests of a client are left at once, and the servers' places are lost.
 
-One client has requests at a gateway, some of which run while the others wait. It ends,
-so that all its channels are closed at the same time. The servers have to stop work on
-its requests, and later requests have to be served.
+A client has requests at a gateway, some of which run while the others wait. It ends,
+so that all its channels are closed at the same time; some more clients do the same.
+Later requests have to be served.
 """
 
 import asyncio
@@ -29,11 +29,13 @@
 )
 FIRST_ROUTE = lib.make_route("status", "filing", "idempotent", max_attempts=2)
 # The client's requests: as many as run at two engines, and some that wait.
-RUNNING, WAITING = 12, 36
+RUNNING, WAITING = 12, 24
+# Clients that do so, one after the other.
+CLIENTS = 5
 # Requests of other clients at the other gateways meanwhile, by second.
 OTHERS_PER_S = 60
 PATIENCE_S = 8.0
-EVENTS, GAP_S = 100, 0.04
+EVENTS, GAP_S = 36, 0.04
 
 
 async def run(server, request):
@@ -44,23 +46,23 @@
     return 200, b"x" * 800
 
 
-async def send_others(deployment, seconds):
+async def send_others(deployment, seconds, number):
     """Send requests of other clients, none of which leaves, to the other gateways."""
     tasks = []
     for each in range(int(OTHERS_PER_S * seconds)):
         machine = deployment.machines[1 + each % 2]
-        attempt = read_status(deployment, machine, f"other-{each}")
+        attempt = read_status(deployment, machine, f"other-{number}-{each}")
         tasks.append(asyncio.ensure_future(attempt))
         await asyncio.sleep(1 / OTHERS_PER_S)
     return await asyncio.gather(*tasks)
 
 
-async def leave_at_once(deployment, machine, servers):
-    """Let a client send its requests and end; return what the servers still run."""
+async def leave_at_once(deployment, machine, servers, number):
+    """Let a client send its requests and end; record what the servers still run."""
     tasks = []
-    others = asyncio.ensure_future(send_others(deployment, 2.5))
+    others = asyncio.ensure_future(send_others(deployment, 2.5, number))
     for each in range(RUNNING + WAITING):
-        attempt = send(deployment, machine, f"batch-{each}", PATIENCE_S)
+        attempt = send(deployment, machine, f"batch-{number}-{each}", PATIENCE_S)
         tasks.append(asyncio.ensure_future(attempt))
         await asyncio.sleep(0.01)
     await asyncio.sleep(0.7)
@@ -75,9 +77,8 @@
         deployment.record.say(f"half a second later {still} run")
         await others
         await asyncio.sleep(3.0)
-        return before, still
+        return
     await asyncio.gather(others, *tasks)
-    return before, 0
 
 
 async def read_status(deployment, machine, identity):
@@ -142,7 +143,8 @@
             first = await send(deployment, machines[each % 3], f"calm-{each}", 8.0)
             if first.status != 200 or not first.complete:
                 raise lib.CannotRun("a request on a calm system was not served")
-        before, still = await leave_at_once(deployment, machines[0], servers[:2])
+        for number in range(CLIENTS):
+            await leave_at_once(deployment, machines[0], servers[:2], number)
         await asyncio.sleep(8.0)
         record.say("the system has been calm for eight seconds")
         added, first = [], []
