Refuse announcements that cannot be passed on, and dial links again after any error

Cause: two faults together. An announcement was stored before it was known that a message can hold it, so that each new link tried to send it and failed; and the task that dials a peer ended with any error that is no network error.

Change: announcements are bounded once, where they are decoded (core/bounds.py: literal address and port, 64-bit numbers, names that a header can carry), also those in records of other control hosts, of which an invalid one is dropped alone. A handler of links, a part of the periodic work or a message that fails is logged and ends nothing else, and a link is dialed again whatever ended it. Messages to many links are encoded once.

Looked at for the same cause: PeriodicCallback of Tornado survives errors, so ticks went on, but without the parts after the failing one; accepted connections were dialed again by the other side; ConnectionPool.open raised ValueError and UnicodeError.

--- a/brasstrail/core/servers.py
+++ b/brasstrail/core/servers.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+from brasstrail.core import bounds
+
 
 class ServerPhase(enum.StrEnum):
     """Whether a backend server is available for new work.
@@ -54,6 +56,33 @@
         return (self.born_ms, self.sequence)
 
 
+def make_end(identity, born_ms):
+    """Return the announcement that a start of a server has ended.
+
+    A `born_ms` of 0 means whichever start is known.
+    """
+    return Announcement(identity, "", "", "", ServerPhase.GONE, born_ms, 0)
+
+
+def check_announcement(announcement):
+    """Raise `errors.BadRequest` unless an announcement can be sent on and used.
+
+    That of a server that is gone states its identity and its start only.
+    """
+    bounds.check_header_text("The identity", announcement.identity)
+    bounds.check_integer("The time of the start", announcement.born_ms)
+    bounds.check_integer("The sequence", announcement.sequence)
+    if announcement.phase is ServerPhase.GONE and not announcement.address:
+        return
+    bounds.split_address(announcement.address)
+    bounds.check_name("The service", announcement.service)
+    bounds.check_name("The data centre", announcement.data_centre)
+    if announcement.version:
+        bounds.check_name("The version", announcement.version)
+    bounds.check_integer("The number of slots", announcement.slots, 1)
+    bounds.check_number("The time of slowness", announcement.cold_ms)
+
+
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
     """The load of a backend server, as reported in an answer."""
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -59,7 +59,8 @@
         self.identity = identity
         self.service = service
         self.version = version
-        self.address = f"{identity}:1"
+        number = len(platform.servers)
+        self.address = f"10.0.{number // 256}.{number % 256}:1"
         self.born_ms = 0
         self.is_up = False
         self.runs = []
--- a/brasstrail/platform/announcements.py
+++ b/brasstrail/platform/announcements.py
@@ -27,42 +27,41 @@
     """Return the `servers.Announcement` in a request body.
 
     `identity` identifies the server. Raises `errors.BadRequest` if the body is
-    malformed.
+    malformed, or if a value in it cannot be passed on or used.
     """
     json_object = parse_json_object(body)
     phase = PHASES_BY_STATE.get(json_object.get("state"))
     if phase is None:
         raise errors.BadRequest("An announcement has an unknown state.", REMEDY)
-    address = get_string(json_object, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise errors.BadRequest("An announcement has no address.", REMEDY)
-    return servers.Announcement(
+    announcement = servers.Announcement(
         identity,
         get_string(json_object, "service"),
-        address,
+        get_string(json_object, "address"),
         get_string(json_object, "zone"),
         phase,
         get_non_negative_integer(json_object, "born"),
         get_non_negative_integer(json_object, "sequence"),
         max(1, get_non_negative_integer(json_object, "slots")),
-        max(0.0, get_number(json_object, "cold_remaining_ms")),
+        max(0.0, float(get_number(json_object, "cold_remaining_ms"))),
         get_optional_string(json_object, "version"),
     )
+    servers.check_announcement(announcement)
+    return announcement
 
 
-def decode_withdrawal(body):
-    """Return the start time of the server that a withdrawal refers to.
+def decode_withdrawal(identity, body):
+    """Return the `servers.Announcement` of a server that has ended.
 
-    Returns None if the body is empty or does not state the start time. Raises
-    `errors.BadRequest` if the body is malformed.
+    Its start is 0 if the body is empty or does not state when the server started.
+    Raises `errors.BadRequest` as `decode` does.
     """
-    if not body:
-        return None
-    json_object = parse_json_object(body)
-    if "born" not in json_object:
-        return None
-    return get_non_negative_integer(json_object, "born")
+    json_object = parse_json_object(body) if body else {}
+    born_ms = 0
+    if "born" in json_object:
+        born_ms = get_non_negative_integer(json_object, "born")
+    announcement = servers.make_end(identity, born_ms)
+    servers.check_announcement(announcement)
+    return announcement
 
 
 def parse_json_object(body):
--- a/brasstrail/platform/operators.py
+++ b/brasstrail/platform/operators.py
@@ -103,8 +103,9 @@
     def delete(self, identity):
         """Record that the server has shut down."""
         try:
-            born_ms = announcements.decode_withdrawal(self.request.body)
-            self.publisher.registry.withdraw(identity, born_ms)
+            self.publisher.registry.announce(
+                announcements.decode_withdrawal(identity, self.request.body)
+            )
         except errors.BrasstrailError as error:
             self.send_typed_error(error)
             return
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -300,8 +300,8 @@
     def apply_directory(self, update):
         """Apply server records; a complete update also removes servers not in it."""
         self.origins.record_directory(update, self.subscription.last_confirmed_ms)
-        for record in update.records:
-            self.apply_server_record(record)
+        for record, announcement, age_ms in registry.valid_records(update, self.log):
+            self.apply_server_record(record, announcement, age_ms)
         if update.complete:
             listed = {record.identity for record in update.records}
             for identity in set(self.directory.known) - listed:
@@ -312,14 +312,16 @@
                 self.pool.remove_server(identity)
         self.dispatch_waiting()
 
-    def apply_server_record(self, record):
-        """Apply the record of one server unless a newer one was already applied."""
-        announcement = registry.to_announcement(record)
+    def apply_server_record(self, record, announcement, age_ms):
+        """Apply the record of one server unless a newer one was already applied.
+
+        `announcement` and `age_ms` are those in the record.
+        """
         is_silent = announcement.phase is servers.ServerPhase.SILENT
         if is_silent:
             announcement = registry.with_ready_phase(announcement)
         replaced = self.directory.running_starts(announcement)
-        self.directory.record_announcement(announcement, clock.now_ms() - record.age_ms)
+        self.directory.record_announcement(announcement, clock.now_ms() - age_ms)
         known = self.directory.known[record.identity].announcement
         self.milestones.reach("first_server", server=record.identity)
         if known.phase is not servers.ServerPhase.GONE:
@@ -331,7 +333,7 @@
             version=record.version,
             born=record.born_ms,
             sequence=record.sequence,
-            age_ms=record.age_ms,
+            age_ms=age_ms,
             believed=str(known.phase),
             believed_sequence=known.sequence,
         )
@@ -546,21 +548,25 @@
         self.dispatch_waiting()
 
     def tick(self):
-        """Run the periodic work: dispatch, gossip, closing of idle connections."""
+        """Run the periodic work: dispatch, gossip, closing of idle connections.
+
+        An error in one part is logged and does not keep the others from running.
+        """
         now_ms = clock.now_ms()
         self.pauses.record_tick(now_ms)
-        self.dispatch_waiting()
-        self.gossip.tick()
-        self.crashes.tick(now_ms)
-        self.origins.tick(now_ms)
-        self.limits.tick(now_ms)
+        run = self.hub.run_callback
+        run(self.dispatch_waiting)
+        run(self.gossip.tick)
+        run(self.crashes.tick, now_ms)
+        run(self.origins.tick, now_ms)
+        run(self.limits.tick, now_ms)
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
-            self.gossip.apply_all_pending()
-            self.connections.close_expired()
-            self.pool.rests.remove_expired(now_ms)
-            self.pool.departures.remove_expired(now_ms)
-            self.drop_unlisted_peers(now_ms)
+            run(self.gossip.apply_all_pending)
+            run(self.connections.close_expired)
+            run(self.pool.rests.remove_expired, now_ms)
+            run(self.pool.departures.remove_expired, now_ms)
+            run(self.drop_unlisted_peers, now_ms)
 
     def register_gauges(self):
         """Register the gauges of the gateway."""
--- a/brasstrail/roles/hub.py
+++ b/brasstrail/roles/hub.py
@@ -139,17 +139,17 @@
     def deliver(self, link, message):
         """Pass a message to all handlers."""
         for handler in self.handlers:
-            handler.link_message(link, message)
+            self.run_callback(handler.link_message, link, message)
 
     def notify_reset(self, link):
         """Notify the handlers that a peer has lost its session."""
         for handler in self.handlers:
-            handler.link_reset(link)
+            self.run_callback(handler.link_reset, link)
 
     def notify_up(self, link):
         """Notify the handlers that a link has a new connection."""
         for handler in self.handlers:
-            handler.link_up(link)
+            self.run_callback(handler.link_up, link)
 
     def tick(self):
         """Run the sessions' periodic work and drop sessions of absent peers.
@@ -159,7 +159,7 @@
         """
         now_ms = clock.now_ms()
         for link in [*self.accepted.values(), *self.dialed.values()]:
-            link.tick(now_ms)
+            self.run_callback(link.tick, now_ms)
         for name, link in list(self.accepted.items()):
             idle_ms = now_ms - link.idle_since_ms
             if not link.connected and idle_ms > SESSION_RETENTION_MS:
@@ -199,7 +199,28 @@
         try:
             callback(*arguments)
         except Exception as error:
-            self.log.error("hub: A callback failed.", reason=repr(error))
+            self.log.error(
+                "hub: A callback failed.",
+                callback=getattr(callback, "__qualname__", repr(callback)),
+                reason=repr(error),
+            )
+
+    def send_to_all(self, destinations, message):
+        """Send a message over several links; it is encoded only once.
+
+        A link that cannot take it is logged and does not keep the others from it.
+        """
+        payload = codec.encode(codec.MESSAGE, message)
+        for link in destinations:
+            try:
+                link.send_payload(payload)
+            except errors.BrasstrailError as error:
+                self.log.error(
+                    "hub: A message was not sent.",
+                    peer=link.name or link.address,
+                    message=type(message).__name__,
+                    reason=str(error),
+                )
 
     def task_ended(self, task):
         """Drop a finished task; log the exception that ended it, if any."""
@@ -221,6 +242,13 @@
                 delay_s = RECONNECT_DELAY_MIN_S
             except links.NETWORK_ERRORS as error:
                 self.log_connection_failure(link, error, delay_s)
+            except Exception as error:
+                # Whatever failed: a link that is not dialed again is lost for good.
+                self.log.error(
+                    "link: A connection failed within.",
+                    peer=link.name or link.address,
+                    reason=repr(error),
+                )
             link.drop_stream()
             if link.established and not was_established:
                 delay_s = RECONNECT_DELAY_MIN_S
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -189,16 +189,17 @@
     # Confirmation.
 
     def tick(self):
-        """Run the periodic work."""
+        """Run the periodic work; an error in one part is logged, and the others run."""
         now_ms = clock.now_ms()
+        run = self.hub.run_callback
         if now_ms >= self.next_confirm_ms or self.pending_heartbeats:
-            self.start_confirmation_round(now_ms)
+            run(self.start_confirmation_round, now_ms)
         if now_ms >= self.next_share_ms:
             self.next_share_ms = now_ms + SHARE_INTERVAL_MS
-            self.share(now_ms)
-            self.registry.share(now_ms)
-            self.drop_expired_subscribers(now_ms)
-        self.registry.detect_silent_servers(now_ms)
+            run(self.share, now_ms)
+            run(self.registry.share, now_ms)
+            run(self.drop_expired_subscribers, now_ms)
+        run(self.registry.detect_silent_servers, now_ms)
 
     def start_confirmation_round(self, now_ms):
         """Start a confirmation round unless one is running."""
@@ -222,7 +223,7 @@
                 return
             self.confirmed_ms = round_start_ms
             for heartbeat in heartbeats:
-                self.answer(heartbeat)
+                self.hub.run_callback(self.answer, heartbeat)
         finally:
             self.is_confirming = False
 
@@ -280,7 +281,7 @@
             )
         for subscriber in self.subscribers.values():
             if subscriber.link.connected:
-                self.send_document(subscriber)
+                self.hub.run_callback(self.send_document, subscriber)
 
     # The operators' document.
 
@@ -344,15 +345,18 @@
 
     def send_to_subscribers(self, message):
         """Send a message to the gateways that subscribe to this host."""
-        for subscriber in self.subscribers.values():
-            if subscriber.link.connected:
-                subscriber.link.send(message)
+        subscribed = [each.link for each in self.subscribers.values()]
+        self.send_to_connected(subscribed, message)
 
     def send_to_peers(self, message):
         """Send a message to the other control hosts."""
-        for link in self.control.replication.peers.values():
-            if link.connected:
-                link.send(message)
+        self.send_to_connected(self.control.replication.peers.values(), message)
+
+    def send_to_connected(self, links, message):
+        """Send a message over those of some links that have a connection."""
+        connected = [link for link in links if link.connected]
+        if connected:
+            self.hub.send_to_all(connected, message)
 
     # Exchange between control hosts.
 
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -1,6 +1,7 @@
 """Integration tests of control hosts and gateways in one process on loopback."""
 
 import asyncio
+import dataclasses
 import pathlib
 import tempfile
 import types
@@ -17,6 +18,7 @@
 from brasstrail.roles import control as control_module
 from brasstrail.roles import daemon
 from brasstrail.roles import publisher as publisher_module
+from brasstrail.roles import registry as registry_module
 from brasstrail.settings import settings
 from brasstrail.tools import ports
 
@@ -36,6 +38,29 @@
     ],
     "services": [{"name": "s", "max_conns": 9}],
 }
+ANNOUNCEMENT = {
+    "service": "s",
+    "address": "127.0.0.1:9",
+    "zone": "east",
+    "slots": 2,
+    "state": "ready",
+    "sequence": 1,
+    "born": 5,
+}
+# Fields of a `messages.ServerRecord` with which a server cannot be used.
+UNUSABLE_FIELDS = (
+    {"address": "127.0.0.1:99999"},
+    {"address": "127.0.0.1:0"},
+    {"address": "nowhere.example:80"},
+    {"address": "..:80"},
+    {"phase": "asleep"},
+    {"identity": "bad-\r\nX: 1"},
+    {"identity": "bad-" + "x" * 300},
+    {"service": ""},
+    {"born_ms": -1},
+    {"slots": 0},
+    {"cold_ms": float("nan")},
+)
 
 WORK = pool.Work("x", "s", (1, 1), 0, 1000, 1000)
 
@@ -148,15 +173,7 @@
             await asyncio.sleep(0.1)
 
     async def test_an_announcement_reaches_every_gateway(self):
-        announcement = {
-            "service": "s",
-            "address": "127.0.0.1:9",
-            "zone": "east",
-            "slots": 2,
-            "state": "ready",
-            "sequence": 1,
-            "born": 5,
-        }
+        announcement = dict(ANNOUNCEMENT)
         path = "/v1/instances/i-1"
         reply = await self.call(
             self.controls[0], "PUT", path, orjson.dumps(announcement)
@@ -175,6 +192,60 @@
         reply = await self.call(self.controls[0], "PUT", path, b'{"service": 3}')
         self.assertEqual(reply.code, 400)
 
+    async def test_foreign_announcement_does_not_end_links_for_good(self):
+        """Guards against an unsendable announcement that stops all reconnections.
+
+        It was stored before it was sent, and each new link tried to send it.
+        """
+        body = orjson.dumps(DOCUMENT)
+        await self.call(self.controls[0], "PUT", "/v1/configuration", body)
+        for control in self.controls:
+            reply = await self.call(
+                control,
+                "PUT",
+                "/v1/instances/m-1",
+                orjson.dumps({**ANNOUNCEMENT, "sequence": 2**64 - 999}),
+            )
+            self.assertEqual(reply.code, 400)
+        for each in (*self.controls, *self.gateways):
+            for link in [*each.hub.dialed.values(), *each.hub.accepted.values()]:
+                link.drop_stream()
+        await asyncio.sleep(0.5)
+        reply = await self.call(self.controls[1], "GET", "/v1/configuration")
+        self.assertEqual((reply.code, reply.body), (200, body))
+
+    async def test_link_is_dialed_again_after_an_error_of_a_handler(self):
+        hub = self.controls[0].hub
+
+        def fail(*arguments):
+            raise AttributeError("a fault")
+
+        hub.handlers.insert(
+            0, types.SimpleNamespace(link_up=fail, link_message=fail, link_reset=fail)
+        )
+        hub.dialed[self.peers[1]].drop_stream()
+        await wait_until(lambda: hub.dialed[self.peers[1]].connected)
+        body = orjson.dumps(DOCUMENT)
+        reply = await self.call(self.controls[0], "PUT", "/v1/configuration", body)
+        self.assertEqual(reply.code, 200)
+
+    async def test_record_that_no_server_can_have_is_dropped_alone(self):
+        """A control host of an earlier build passes on what it has accepted."""
+        good = registry_module.to_record(make_announcement("i-5"), 0)
+        bad = [
+            dataclasses.replace(good, **{"identity": f"bad-{number}", **fields})
+            for number, fields in enumerate(UNUSABLE_FIELDS)
+        ]
+        update = messages.Directory(False, (*bad, good))
+        for control in self.controls:
+            control.publisher.registry.handle_directory(None, update)
+            known = control.publisher.registry.directory.known
+            self.assertEqual([name for name in known if name.startswith("bad")], [])
+            self.assertIn("i-5", known)
+        for each in self.gateways:
+            each.gateway.apply_directory(update)
+            self.assertEqual(set(each.gateway.pool.servers), {"i-5"})
+
     async def test_control_host_without_quorum_confirms_nothing(self):
         body = orjson.dumps(DOCUMENT)
         await self.call(self.controls[0], "PUT", "/v1/configuration", body)
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -10,9 +10,11 @@
 import dataclasses
 
 from brasstrail.coordination import directory, origins
-from brasstrail.core import clock, servers
+from brasstrail.core import clock, errors, servers
 from brasstrail.protocol import messages
 
+MAX_AGE_MS = 2 * directory.RETENTION_MS
+
 
 class Registry:
     """The known backend servers.
@@ -81,17 +83,6 @@
         self.record_announcement(announcement, clock.now_ms(), to_peers=True)
         self.publisher.check_confirmed()
 
-    def withdraw(self, identity, born_ms):
-        """Record that a server has shut down, as `announce` does.
-
-        `born_ms` identifies the server start that has ended, or None if not stated.
-        """
-        final_announcement = servers.Announcement(
-            identity, "", "", "", servers.ServerPhase.GONE, born_ms or 0, 0
-        )
-        self.record_announcement(final_announcement, clock.now_ms(), to_peers=True)
-        self.publisher.check_confirmed()
-
     def record_announcement(self, announcement, seen_ms, to_peers):
         """Record an announcement received at `seen_ms`; publish any change."""
         if announcement.phase is not servers.ServerPhase.GONE:
@@ -136,10 +127,8 @@
     def handle_directory(self, link, update):
         """Record the announcements that another control host received."""
         now_ms = clock.now_ms()
-        for record in update.records:
-            self.record_announcement(
-                to_announcement(record), now_ms - record.age_ms, False
-            )
+        for _, announcement, age_ms in valid_records(update, self.log):
+            self.record_announcement(announcement, now_ms - age_ms, False)
 
     def snapshot(self):
         """Return all known servers as the message that is sent to gateways."""
@@ -233,6 +222,26 @@
     )
 
 
+def valid_records(update, log):
+    """Yield the valid records of a `messages.Directory`, and log the others.
+
+    Each comes with its announcement and with its age in milliseconds. Those that are
+    older than servers are kept for have the same effect, whatever their age.
+    """
+    for record in update.records:
+        try:
+            announcement = to_announcement(record)
+            servers.check_announcement(announcement)
+        except (ValueError, errors.BadRequest) as error:
+            log.error(
+                "registry: A record of a server is not valid and is ignored.",
+                server=record.identity,
+                reason=str(error),
+            )
+            continue
+        yield record, announcement, min(max(0, record.age_ms), MAX_AGE_MS)
+
+
 def with_gone_phase(announcement):
     """Return a copy of an announcement with the phase `GONE`."""
     return dataclasses.replace(announcement, phase=servers.ServerPhase.GONE)
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -13,7 +13,7 @@
 
 from tornado import http1connection, httputil, iostream, tcpclient
 
-from brasstrail.core import clock
+from brasstrail.core import bounds, clock, errors
 
 CHUNK_BYTES = 65536
 MAX_HEADER_BYTES = 65536
@@ -346,9 +346,12 @@
 
         Raises `ConnectFailed` if there is none within `timeout_ms`.
         """
-        host, _, port = address.rpartition(":")
         self.opened_count += 1
-        connecting = self.client.connect(host, int(port))
+        try:
+            host, port = bounds.split_address(address)
+        except errors.BadRequest as error:
+            raise ConnectFailed(error.message) from error
+        connecting = self.client.connect(host, port)
         try:
             stream = await asyncio.wait_for(connecting, timeout_ms / 1000)
         except ConnectionRefusedError as error:
