Let neither a stuck peer nor an unreadable command end a replica

A peer that has not acknowledged 64 MB made Link.send raise Overloaded, which ended the task that drives the replica: the control host answered no change any more. A proposal of bytes that are no command was appended to the log, and each replica that applied it failed, again after each restart.

Change: a message that one link cannot take is logged and dropped for that link alone; the log protocol sends it again. A proposal is decoded before it is appended. An error within the replica's work that is not its disk's stops it as a failed disk does, with the reason in the log, instead of ending its task silently.

Red before: publisher_test, test_peer_without_acknowledgements_holds_nobody_else_up (503 for a change) and test_command_that_cannot_be_read_is_not_proposed.

--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -244,7 +244,19 @@
         return f"{self.hub.name}.{self.hub.incarnation}.control.{next(self.id_counter)}"
 
     def handle_propose(self, link, propose):
-        """Handle a proposal of a member or of another control host."""
+        """Handle a proposal of a member or of another control host.
+
+        A command that cannot be decoded is not proposed: each replica that applies it
+        would fail, also after a restart.
+        """
+        try:
+            codec.decode(codec.COMMAND, propose.command)
+        except errors.BadRequest as error:
+            self.log.error(
+                "control: A proposal was refused.", peer=link.name, reason=str(error)
+            )
+            link.send(messages.Outcome(propose.proposal_id, False, b""))
+            return
         refusal = self.ledger_full_result(propose.command)
         if refusal is not None:
             link.send(messages.Outcome(propose.proposal_id, True, refusal))
@@ -315,10 +327,9 @@
             self.hub.run_callback(listener)
 
     def publish(self, message):
-        """Send a message to every attached member; it is encoded only once."""
-        payload = codec.encode(codec.MESSAGE, message)
-        for attached in self.attached.values():
-            attached.link.send_payload(payload)
+        """Send a message to every attached member."""
+        attached_links = [attached.link for attached in self.attached.values()]
+        self.hub.send_to_all(attached_links, message)
 
     # Reads.
 
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -14,7 +14,7 @@
 
 from brasstrail.coordination import pool
 from brasstrail.core import errors, servers
-from brasstrail.protocol import messages
+from brasstrail.protocol import messages, session
 from brasstrail.roles import control as control_module
 from brasstrail.roles import daemon
 from brasstrail.roles import publisher as publisher_module
@@ -246,6 +246,35 @@
             each.gateway.apply_directory(update)
             self.assertEqual(set(each.gateway.pool.servers), {"i-5"})
 
+    async def test_peer_without_acknowledgements_holds_nobody_else_up(self):
+        """Guards against a stuck peer whose full session ends the replica's task."""
+        leader = next(
+            each for each in self.controls if each.control.replication.is_leader
+        )
+        stuck, *_ = [
+            link for link in leader.control.replication.peers.values() if link.connected
+        ]
+        stuck.session.max_unacked_bytes = 0
+        body = orjson.dumps(DOCUMENT)
+        reply = await self.call(leader, "PUT", "/v1/configuration", body)
+        self.assertEqual(reply.code, 200)
+        stuck.session.max_unacked_bytes = session.MAX_UNACKED_BYTES
+        await wait_until(
+            lambda: all(each.publisher.document.version == 4 for each in self.controls)
+        )
+
+    async def test_command_that_cannot_be_read_is_not_proposed(self):
+        """Guards against a log entry that ends each replica that applies it."""
+        leader = next(
+            each for each in self.controls if each.control.replication.is_leader
+        )
+        answers = []
+        link = types.SimpleNamespace(name="x", send=answers.append)
+        before = leader.control.machine.index
+        leader.control.handle_propose(link, messages.Propose("p", b"\xff" * 16))
+        self.assertEqual([each.committed for each in answers], [False])
+        self.assertEqual(leader.control.replication.replica.raft.log.last_index, before)
+
     async def test_control_host_without_quorum_confirms_nothing(self):
         body = orjson.dumps(DOCUMENT)
         await self.call(self.controls[0], "PUT", "/v1/configuration", body)
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -211,7 +211,7 @@
         """
         link = self.peers.get(host)
         if link is not None and link.connected:
-            link.send(message)
+            self.hub.send_to_all((link,), message)
 
     # Work.
 
@@ -223,20 +223,23 @@
             self.work_available.set()
 
     async def run_work_loop(self):
-        """Process the replica's work until the disk fails."""
+        """Process the replica's work until it fails."""
         while self.failed is None:
             await self.work_available.wait()
             self.work_available.clear()
             try:
                 await self.work()
-            except errors.DiskFailed as error:
+            except Exception as error:
                 self.fail(error)
 
     def fail(self, error):
-        """Stop the replica, since the contents of its disk are uncertain."""
+        """Stop the replica: how much of its work was done is not certain.
+
+        Once its process starts again, it goes on from what is on its disk.
+        """
         self.failed = error
         self.ticker.stop()
-        self.log.error("log: The disk failed; the replica stops.", reason=str(error))
+        self.log.error("log: The replica stops after an error.", reason=repr(error))
 
     async def work(self):
         """Process work until the replica has no more."""
