Bound the numbers in heads of messages, events and documents

What a caller or a server writes could raise an untyped error: digits that are no ASCII or more than 4,300 of them in X-Token-Usage, X-Prefix-Hash, X-Server-Load, Keep-Alive and event ids ended the request as an internal error; a stated size beyond 64 bits made each state of its gateway unsendable while it ran, so that the other gateways knew neither its load nor its spending; documents with routes nested beyond 254 levels or with numbers of 300 digits got 500 instead of a refusal, and were sent again.

Change: counts are read by bounds.parse_count, event ids are compared as text, numbers in documents are bounded by 64 bits. Sound already: deadlines (NaN is 0), limits and rests of servers (patterns), bodies of reports (no field but one is read).

Red before: platform_test (odd counts, largest requests, three documents), events_test (ids of any length).

--- a/brasstrail/platform/documents.py
+++ b/brasstrail/platform/documents.py
@@ -19,7 +19,7 @@
 
 import orjson
 
-from brasstrail.core import catalog, errors
+from brasstrail.core import bounds, catalog, errors
 
 ROUTE_KINDS_BY_TYPE = {
     "idempotent": catalog.RouteKind.IDEMPOTENT,
@@ -34,8 +34,6 @@
 MIN_EVENT_TIMEOUT_MS = 2000.0
 EVENT_TIMEOUT_GOALS = 4.0
 EVENT_TIMEOUT_PAUSES = 8.0
-# The largest integer that messages between processes hold.
-MAX_INTEGER = 2**63 - 1
 # Routes that are decoded in about 3 ms.
 ROUTES_PER_STEP = 100
 REMEDY = "Correct what is named and send it again."
@@ -78,6 +76,11 @@
             return (yield from self.catalog_steps(orjson.loads(body)))
         except orjson.JSONDecodeError as error:
             raise errors.InvalidChange(f"It is not JSON: {error}.", REMEDY) from error
+        except orjson.JSONEncodeError as error:
+            # It is nested too deeply to be compared with later documents.
+            raise errors.InvalidChange(
+                f"It cannot be read: {error}.", REMEDY
+            ) from error
         except InvalidDocument as error:
             raise errors.InvalidChange(f"{error}.", REMEDY) from error
 
@@ -323,15 +326,15 @@
     value = json_object.get(name, default)
     if value is None and default is not None:
         return default
-    if type(value) not in (int, float):
-        raise InvalidDocument(f"{name} is no number")
+    if type(value) not in (int, float) or not abs(value) <= bounds.MAX_INTEGER:
+        raise InvalidDocument(f"{name} is no number in 64 bits")
     return value
 
 
 def get_non_negative_integer(json_object, name):
     """Return the integer of at least 0 in a field; raise `InvalidDocument` if none."""
     value = json_object.get(name)
-    if type(value) is not int or not 0 <= value <= MAX_INTEGER:
+    if type(value) is not int or not 0 <= value <= bounds.MAX_INTEGER:
         raise InvalidDocument(f"{name} is no whole number of at least 0 in 64 bits")
     return value
 
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -20,7 +20,7 @@
 import orjson
 from tornado import httputil
 
-from brasstrail.core import calls, errors, servers
+from brasstrail.core import bounds, calls, errors, servers
 
 ATTEMPT_ID_HEADER = "X-Attempt-Id"
 DEADLINE_HEADER = "X-Deadline-Ms"
@@ -43,6 +43,9 @@
 # The path at which a server reports on itself. Its `born` is when it started.
 REPORT_PATH = "/v1/report"
 API_KEY_SCHEME = "token "
+# The highest count that a header states: tokens, requests, slots or seconds. Sums of
+# those of all requests fit into the messages between gateways.
+MAX_COUNT = 10**9
 MISDIRECTED_REQUEST_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
@@ -190,21 +193,24 @@
 
 
 def parse_integer_list(value):
-    """Return the integers in a comma-separated list, or [] if any item is invalid."""
-    items = [item.strip() for item in value.split(",")]
-    if not all(item.isdigit() for item in items):
-        return []
-    return [int(item) for item in items]
+    """Return the integers in a comma-separated list, or [] if any item is invalid.
+
+    >>> parse_integer_list("1460, 80"), parse_integer_list("1460,²")
+    ([1460, 80], [])
+    """
+    numbers = [bounds.parse_count(item.strip(), MAX_COUNT) for item in value.split(",")]
+    return [] if None in numbers else numbers
 
 
 def parse_prompt_parts(value):
     """Return the parts of a prompt, up to the first one that is malformed."""
     parts = []
     for item in value.split(","):
-        identity, _, tokens = item.strip().partition(":")
-        if not identity or not tokens.isdigit():
+        identity, _, digits = item.strip().partition(":")
+        tokens = bounds.parse_count(digits, MAX_COUNT)
+        if not identity or tokens is None:
             break
-        parts.append(calls.PromptPart(identity, int(tokens)))
+        parts.append(calls.PromptPart(identity, tokens))
     return tuple(parts)
 
 
@@ -315,8 +321,9 @@
 def parse_keep_alive_timeout_s(value):
     """Return the time-out in seconds in a `Keep-Alive` header, or None."""
     for item in (value or "").split(","):
-        name, _, seconds = item.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
+        name, _, digits = item.strip().partition("=")
+        seconds = bounds.parse_count(digits, MAX_COUNT)
+        if name.lower() == "timeout" and seconds is not None:
             return float(seconds)
     return None
 
--- a/brasstrail/platform/platform_test.py
+++ b/brasstrail/platform/platform_test.py
@@ -9,8 +9,11 @@
 from tornado import httputil
 
 import brasstrail
+from brasstrail.coordination import pool
 from brasstrail.core import catalog, errors, servers
 from brasstrail.platform import announcements, documents, headers
+from brasstrail.protocol import codec, messages
+from brasstrail.roles import columns
 
 ROOT = pathlib.Path(brasstrail.__file__).parent
 PLATFORM_NAMES = re.compile(
@@ -93,6 +96,15 @@
     "no services": orjson.dumps(make_document(services=None)),
     "a version that is too large": orjson.dumps(make_document(version=2**63)),
     "routes are not a list": orjson.dumps(make_document(routes={"a": 1})),
+    "a number that is too large": orjson.dumps(
+        make_document(routes=[make_route(priority=1e300)])
+    ),
+    "a large number of slots": orjson.dumps(
+        make_document(services=[{"name": "s", "runtime": {"slots": 1e300}}])
+    ),
+    "a route that is nested deeply": orjson.dumps(make_document()).replace(
+        b'"name":"r"', b'"name":"r","more":' + b"[" * 500 + b"]" * 500
+    ),
     "unknown type": orjson.dumps(make_document(routes=[make_route(type="x")])),
 }
 
@@ -234,6 +246,28 @@
         call = self.make_call(Last_Event_Id="4", Resumes="9c41")
         self.assertEqual((call.resume_after, call.resumes), ("4", "9c41"))
 
+    def test_odd_counts_are_read_or_left_out(self):
+        """Guards against counts that end a request, or the state sent to gateways."""
+        for odd in ("²", "9" * 5000, "1_0", "٣", "-1", "1e9"):
+            call = self.make_call(
+                X_Token_Usage=f"{odd},80", X_Prefix_Hash=f"a:{odd},b:{odd}"
+            )
+            tokens = call.prompt.input_tokens if call.prompt else 0
+            self.assertIn(tokens, (0, headers.MAX_COUNT))
+            start_line = httputil.ResponseStartLine("HTTP/1.1", 200, "x")
+            answer = {"X-Server-Load": f"{odd},1,1", "Keep-Alive": f"timeout={odd}"}
+            head = headers.read_answer(start_line, httputil.HTTPHeaders(answer))
+            self.assertIn(head.keep_alive_timeout_s, (None, headers.MAX_COUNT))
+
+    def test_state_with_the_largest_requests_can_be_sent(self):
+        call = self.make_call(X_Token_Usage="9" * 30 + "," + "9" * 30)
+        share = pool.LoadShare(
+            10**6, 10**6 * call.prompt.input_tokens, 10**6 * headers.MAX_COUNT
+        )
+        fields = columns.load_fields({"i": share}, as_columns=True)
+        state = messages.GatewayState("g", 1, 1, spent=(), **fields)
+        codec.encode_packed(codec.MESSAGE, state)
+
     def test_rejects_a_deadline_that_is_not_a_number(self):
         with self.assertRaises(errors.BadRequest):
             self.make_call(X_Deadline_Ms="soon")
--- a/brasstrail/protocol/events.py
+++ b/brasstrail/protocol/events.py
@@ -103,7 +103,7 @@
             return self.record_unnumbered()
         self.unnumbered_to_drop = 0
         if is_number(identity) and is_number(self.last_id):
-            if int(identity) <= int(self.last_id):
+            if number_key(identity) <= number_key(self.last_id):
                 return False
         self.last_id = identity
         self.events += 1
@@ -157,3 +157,13 @@
 def is_number(text):
     """Return whether an id is a whole number."""
     return text.isascii() and text.isdigit()
+
+
+def number_key(text):
+    """Return a key that orders whole numbers of any length.
+
+    >>> number_key("9") < number_key("0010")
+    True
+    """
+    significant = text.lstrip("0")
+    return len(significant), significant
--- a/brasstrail/protocol/events_test.py
+++ b/brasstrail/protocol/events_test.py
@@ -46,6 +46,14 @@
         forwarded += cutter.partial
         self.assertEqual(split_lines(forwarded), split_lines(b"".join(whole)))
 
+    def test_ids_of_any_length_are_compared(self):
+        long_id = "9" * 5000
+        cutter = events.EventCutter(long_id)
+        repeated = f"id: {long_id}\ndata: a\n\nid: 7\ndata: b\n\n".encode()
+        self.assertEqual(cutter.feed(repeated), b"")
+        following = f"id: 1{'0' * 5000}\ndata: c\n\n".encode()
+        self.assertEqual(cutter.feed(following), following)
+
     def feed(self, cutter, stream, draw):
         forwarded = b""
         while stream:
