Keep one datagram or document from ending what comes after it

A state that could not be applied raised into whichever request happened to dispatch next and ended it; an amount that is no number would have refused a workspace for ever. A document whose decoding raised an error without a type left the reader at it: the gateway never read another document.

Change: both are logged and dropped, and what follows is read.

--- a/brasstrail/roles/columns.py
+++ b/brasstrail/roles/columns.py
@@ -3,6 +3,8 @@
 A state has both as records or as columns; see `messages.GatewayState`.
 """
 
+import math
+
 from brasstrail.coordination import pool
 from brasstrail.core import errors
 from brasstrail.protocol import messages
@@ -65,9 +67,16 @@
     Raises `errors.BadRequest` if its columns differ in length.
     """
     if state.spent:
-        return {each.workspace: each.amount for each in state.spent}
-    check_lengths(state, state.workspaces, state.amounts)
-    return dict(zip(state.workspaces, state.amounts, strict=True))
+        spent = {each.workspace: each.amount for each in state.spent}
+    else:
+        check_lengths(state, state.workspaces, state.amounts)
+        spent = dict(zip(state.workspaces, state.amounts, strict=True))
+    if not all(map(math.isfinite, spent.values())):
+        raise errors.BadRequest(
+            f"The state of {state.name!r} has an amount that is no number.",
+            "Run the same version on every host.",
+        )
+    return spent
 
 
 def check_lengths(state, *columns):
--- a/brasstrail/roles/columns_test.py
+++ b/brasstrail/roles/columns_test.py
@@ -45,6 +45,13 @@
             with self.assertRaises(errors.BadRequest):
                 read(transfer(state))
 
+    def test_amount_that_is_no_number_is_an_error(self):
+        for amount in (float("nan"), float("inf"), -float("inf")):
+            for as_columns in (False, True):
+                fields = columns.spending_fields({"w": amount}, as_columns)
+                with self.assertRaises(errors.BadRequest):
+                    columns.read_spending(transfer(make_state(**fields)))
+
 
 class MixedVersionsTest(unittest.IsolatedAsyncioTestCase):
     """Three gateways, one of which may be of a version that reads records only."""
--- a/brasstrail/roles/documents.py
+++ b/brasstrail/roles/documents.py
@@ -67,6 +67,14 @@
             await asyncio.sleep(0)
             self.step()
 
+    def log_unreadable(self, reason):
+        """Log that the document is not put in force."""
+        self.log.error(
+            "gateway: A document could not be decoded.",
+            version=self.current.version,
+            reason=reason,
+        )
+
     def step(self):
         """Take one step; return whether there is more to decode."""
         try:
@@ -78,11 +86,10 @@
             decode_ms = clock.now_ms() - self.started_ms
             self.gateway.use_document(self.current.version, end.value, decode_ms)
         except errors.BrasstrailError as error:
-            self.log.error(
-                "gateway: A document could not be decoded.",
-                version=self.current.version,
-                reason=str(error),
-            )
+            self.log_unreadable(str(error))
+        except Exception as error:
+            # Whatever failed: later documents must be read.
+            self.log_unreadable(repr(error))
         else:
             return True
         version, self.current = self.current.version, None
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -287,6 +287,10 @@
             self.datagrams_sent += 1
 
     def datagram_received(self, payload, address):
+        """Handle a datagram; an error in it is logged and ends nothing else."""
+        self.hub.run_callback(self.handle_datagram, payload, address)
+
+    def handle_datagram(self, payload, address):
         """Apply and relay a peer's state unless a newer one was received."""
         targets = self.topology.relay_targets(address)
         if targets is None:
@@ -333,8 +337,11 @@
     def apply_pending(self, name):
         """Apply the state of a peer that was kept, if it was."""
         opened = self.pending.pop(name, None)
-        if opened is None:
-            return
+        if opened is not None:
+            self.hub.run_callback(self.apply_state, name, opened)
+
+    def apply_state(self, name, opened):
+        """Apply the state of a peer; one that cannot be decoded is logged."""
         try:
             message = opened.load()
             self.gateway.apply_peer_state(message)
--- a/brasstrail/roles/gossip_test.py
+++ b/brasstrail/roles/gossip_test.py
@@ -11,6 +11,11 @@
 GATEWAYS_PER_DATA_CENTRE = 5
 
 
+def call(callback, *arguments):
+    """Call a function, as `hub.Hub.run_callback` does."""
+    callback(*arguments)
+
+
 class FakeTransport:
     """A datagram transport that appends datagrams to a shared queue."""
 
@@ -71,7 +76,9 @@
             node = types.SimpleNamespace(
                 region=peer.region, data_centre=peer.data_centre
             )
-            hub = types.SimpleNamespace(settings=types.SimpleNamespace(node=node))
+            hub = types.SimpleNamespace(
+                settings=types.SimpleNamespace(node=node), run_callback=call
+            )
             instance = gossip.Gossip(hub, FakeGateway(peer.name))
             instance.transport = FakeTransport(self.network, (peer.name, 1))
             instance.set_peers([other for other in self.peers if other is not peer])
