Give each place at a server one owner, which returns it on every way out

Cause: a task that is cancelled runs only in a later turn of the event loop. In between its request still waited in the pool; a place that another cancelled request gave back was assigned to it, and setting the result of its cancelled future raised. The place counted as taken for good, at all gateways; the error also came out of the release of the first request, before its connection was closed, so that the server worked on.

Change: places.Place owns a place from the moment at which the pool has chosen, and gives it back, with an unused permit, whatever happens next; requests whose task was cancelled leave the queue before anything is dispatched; what an attempt has to do at its end is on an exit stack, so that no step keeps the next one from running. A place that has no owner is freed within half a second, and logged.

The same cause elsewhere: a charge to the retry budget for which nothing was sent is returned; a trial whose question was cancelled is ended at its coordinator; a cancellation that came together with a new connection was dropped by wait_for, so that the request was sent although its caller had left. Sound already: allotments, held bytes, runs of suspects, leases and origins (their ends are on the task).

Red before: places_test (all five; the last one plays callers that leave at any turn, with the invariant that what is taken is what is at work), upstream_test (three).

--- a/brasstrail/coordination/retries.py
+++ b/brasstrail/coordination/retries.py
@@ -72,6 +72,14 @@
         self.retries[service].append(now_ms)
         return True
 
+    def refund(self, service, charged_ms):
+        """Take a retry that was not made out of the count.
+
+        `charged_ms` is when it was counted.
+        """
+        if charged_ms in self.retries[service]:
+            self.retries[service].remove(charged_ms)
+
     def allows_retry(self, service, now_ms):
         """Return whether one more retry is within the budget."""
         recent_retries = self.prune_expired(self.retries[service], now_ms)
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -351,6 +351,7 @@
 
     async def open(self, address, timeout_ms):
         """Return a connection; raise `upstream.ConnectRefused` if nothing listens."""
+        await asyncio.sleep(0)
         server = self.platform.by_address[address]
         if not server.is_up:
             raise upstream.ConnectRefused("refused")
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 
@@ -67,6 +68,9 @@
         it may go on; None before an event has been passed on, and empty if it is not
         certain which it was.
     has_begun : whether an event has been passed on.
+    outcome : how the request ended, for the log.
+    retry_charged_ms : when the retry budget was charged for a sending that has not been
+        made yet, or None.
     """
 
     def __init__(self, gateway, connection):
@@ -91,6 +95,8 @@
         self.versions = []
         self.software = None
         self.has_begun = False
+        self.outcome = ""
+        self.retry_charged_ms = None
 
     @property
     def identity(self):
@@ -119,25 +125,27 @@
 
     async def run(self, start_line, headers, body):
         """Serve the request, and record its outcome."""
-        outcome = "cancelled"
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.record_outcome)
+            stack.callback(self.refund_allotment)
+            stack.callback(self.refund_retry)
+            stack.callback(self.gateway.crashes.end_trials, self)
+            await self.answer(start_line, headers, body)
+
+    async def answer(self, start_line, headers, body):
+        """Serve the request, or answer it with the reason why it is not served."""
+        self.outcome = "caller_gone"
         try:
-            outcome = await self.serve(start_line, headers, body)
+            self.outcome = await self.serve(start_line, headers, body)
         except refusals.Refused as refusal:
-            outcome = refusal.reason
-            self.gateway.metrics.count("gateway_refusals", reason=outcome)
+            self.outcome = refusal.reason
+            self.gateway.metrics.count("gateway_refusals", reason=refusal.reason)
             self.reply.send_refusal(refusal, self.call, self.ran)
         except (refusals.CallerDisconnected, iostream.StreamClosedError):
-            outcome = "caller_gone"
-        except asyncio.CancelledError:
-            outcome = "caller_gone"
-            raise
+            self.outcome = "caller_gone"
         except Exception as error:
-            outcome = "fault"
+            self.outcome = "fault"
             self.send_internal_error(error)
-        finally:
-            self.gateway.crashes.end_trials(self)
-            self.refund_allotment()
-            self.record_outcome(outcome)
 
     def send_internal_error(self, error):
         """Answer a request that failed because of an internal error."""
@@ -203,6 +211,12 @@
             return
         self.gateway.allotments.refund(admitted.workspace, admitted.cost)
 
+    def refund_retry(self):
+        """Return a charge to the retry budget for which nothing was sent."""
+        if self.retry_charged_ms is not None:
+            charged_ms, self.retry_charged_ms = self.retry_charged_ms, None
+            self.gateway.budget.refund(self.admitted.service, charged_ms)
+
     # Servers.
 
     def work(self):
@@ -270,9 +284,10 @@
             try:
                 await self.gateway.crashes.admit(self)
                 work = self.bound_work()
-                choice = await self.acquire_server(work)
-                self.tried.add(choice.identity)
-                result = await sending.Attempt(self, choice, work).run()
+                with await self.acquire_place(work) as place:
+                    choice = place.choice
+                    self.record_choice(choice)
+                    result = await sending.Attempt(self, place, work).run()
             except refusals.Refused:
                 if failure is None:
                     raise
@@ -300,8 +315,8 @@
         self.reply.send_complete(failure.head, failure.body)
         return "server_failed" if self.reply.end == "complete" else "stream_cut"
 
-    async def acquire_server(self, work):
-        """Return the `pool.Choice` of a server.
+    async def acquire_place(self, work):
+        """Return a `places.Place` at a server.
 
         Raises `refusals.Refused` if no server has capacity in time.
         """
@@ -313,17 +328,21 @@
                 rest_ms = gateway.pool.rest_wait_ms(work, now_ms)
                 reason = "servers_rest" if rest_ms else "overload"
                 raise self.refusal(reason, self.retry_after_s())
-        choice = await gateway.wait_for_server(
+        place = await gateway.wait_for_server(
             work, frozenset(self.tried), max(1, latest_ms - now_ms)
         )
-        if choice is None:
+        if place is None:
             raise self.refusal("no_room", self.retry_after_s())
         self.waited_ms += clock.now_ms() - now_ms
-        tier = self.admitted.rank[0]
-        gateway.metrics.record("gateway_wait", self.waited_ms / 1000, tier=tier)
-        gateway.metrics.count("gateway_sendings")
+        return place
+
+    def record_choice(self, choice):
+        """Record which server the request is sent to, and how long it has waited."""
+        self.tried.add(choice.identity)
+        metrics, tier = self.gateway.metrics, self.admitted.rank[0]
+        metrics.record("gateway_wait", self.waited_ms / 1000, tier=tier)
+        metrics.count("gateway_sendings")
         self.log_choice(choice)
-        return choice
 
     def latest_start_ms(self, work):
         """Return the latest time at which a server must be assigned.
@@ -397,10 +416,16 @@
         return self.is_repeatable() and self.acquire_retry()
 
     def acquire_retry(self):
-        """Charge one retry to the budget; return whether the budget allowed it."""
+        """Charge one retry to the budget; return whether the budget allowed it.
+
+        A charge for which nothing was sent covers the next sending, too.
+        """
+        if self.retry_charged_ms is not None:
+            return True
         service = self.admitted.service
         budget, now_ms = self.gateway.budget, clock.now_ms()
         is_allowed = budget.acquire(service, now_ms)
+        self.retry_charged_ms = now_ms if is_allowed else None
         outcome = "allowed" if is_allowed else "refused"
         self.gateway.metrics.count("gateway_retries", outcome=outcome)
         self.gateway.log.info(
@@ -468,9 +493,10 @@
     def log_choice(self, choice):
         """Log the chosen server and the values behind the choice."""
         limit = {}
-        if choice.permit is not None:
+        server = self.gateway.pool.servers.get(choice.identity)
+        # The server may have left since it was chosen.
+        if choice.permit is not None and server is not None and server.is_limited:
             now_ms = clock.now_ms()
-            server = self.gateway.pool.servers[choice.identity]
             limit = {
                 "limit_per_s": server.limit.per_s,
                 "limit_age_ms": now_ms - server.limit.received_ms,
@@ -517,9 +543,9 @@
             tried=",".join(sorted(self.tried)),
         )
 
-    def record_outcome(self, outcome):
+    def record_outcome(self):
         """Log and count the outcome of the request."""
-        gateway = self.gateway
+        gateway, outcome = self.gateway, self.outcome
         if outcome == "answered":
             gateway.milestones.reach("first_answer", id=self.identity)
         total_ms = clock.now_ms() - self.arrived_ms
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -27,6 +27,7 @@
     milestones,
     origins,
     pauses,
+    places,
     registry,
     subscription,
 )
@@ -109,7 +110,9 @@
     ----------
     catalog : `catalog.Catalog` of the newest document, or None before the first one.
     used_version : the newest document version that a request was admitted with.
-    waiters : futures of requests that wait for a server, by ticket of the pool.
+    waiters : (work, future of its `places.Place`) of requests that wait for a server,
+        by ticket of the pool.
+    places : the `places.Place`s that are taken.
     running : `forwarding.ForwardedRequest` by task.
     knows_gateways : whether control hosts have told which gateways there are.
     held_bytes : the total size of the bodies of running requests.
@@ -144,6 +147,7 @@
         self.pauses = pauses.PauseWatch(TICK_MS, now_ms)
         self.knows_gateways = False
         self.waiters = {}
+        self.places = set()
         self.running = {}
         self.held_bytes = 0
         self.stopping_since_ms = None
@@ -495,13 +499,10 @@
             request.connection.close()
 
     async def wait_for_server(self, work, tried, timeout_ms):
-        """Return the `pool.Choice` for a request, or None after `timeout_ms`.
-
-        The work counts as started at the chosen server.
-        """
+        """Return a request's `places.Place` at a server, or None after `timeout_ms`."""
         ticket = self.pool.enqueue(work, tried)
         waiter = self.hub.loop.create_future()
-        self.waiters[ticket] = waiter
+        self.waiters[ticket] = work, waiter
         expiry = self.hub.loop.call_later(
             timeout_ms / 1000, self.expire_wait, ticket, waiter
         )
@@ -509,9 +510,8 @@
             self.dispatch_waiting()
             return await waiter
         except asyncio.CancelledError:
-            self.pool.remove_waiting(ticket)
             if waiter.done() and not waiter.cancelled() and waiter.result() is not None:
-                self.release(waiter.result().identity, work)
+                waiter.result().release()
             raise
         finally:
             expiry.cancel()
@@ -529,24 +529,42 @@
         if not self.pool.waiting:
             return
         self.gossip.apply_all_pending()
+        self.drop_abandoned_waits()
         for ticket, choice in self.pool.dispatch_waiting(clock.now_ms()):
-            self.waiters[ticket].set_result(choice)
+            work, waiter = self.waiters[ticket]
+            waiter.set_result(places.Place(self, choice, work))
             self.gossip.send_soon()
         wants = self.pool.take_wants()
         if wants:
             self.limits.ask(wants)
 
+    def drop_abandoned_waits(self):
+        """Remove the requests from the queue whose tasks were cancelled.
+
+        Such a task may not have run again yet, so that its ticket is still there.
+        """
+        for ticket, (_, waiter) in self.waiters.items():
+            if waiter.done():
+                self.pool.remove_waiting(ticket)
+
+    def free_lost_places(self):
+        """Free the places at servers that have no owner, and log each."""
+        owned = {(each.choice.identity, each.work.identity) for each in self.places}
+        for identity, server in self.pool.servers.items():
+            for work in list(server.running.values()):
+                if (identity, work.identity) not in owned:
+                    self.pool.remove_running(identity, work)
+                    self.log.error(
+                        "gateway: A place at a server had no owner and was freed.",
+                        server=identity,
+                        id=work.identity,
+                    )
+
     def has_room(self, work, tried):
         """Return whether a server that was not tried could run a work at once."""
         self.gossip.apply_all_pending()
         return self.pool.choose(work, tried, clock.now_ms()) is not None
 
-    def release(self, identity, work):
-        """Record that a request no longer occupies a server."""
-        self.pool.remove_running(identity, work)
-        self.gossip.send_soon()
-        self.dispatch_waiting()
-
     def tick(self):
         """Run the periodic work: dispatch, gossip, closing of idle connections.
 
@@ -564,6 +582,7 @@
             self.last_sweep_ms = now_ms
             run(self.gossip.apply_all_pending)
             run(self.connections.close_expired)
+            run(self.free_lost_places)
             run(self.pool.rests.remove_expired, now_ms)
             run(self.pool.departures.remove_expired, now_ms)
             run(self.drop_unlisted_peers, now_ms)
--- a/brasstrail/roles/limits_test.py
+++ b/brasstrail/roles/limits_test.py
@@ -250,7 +250,8 @@
         request = types.SimpleNamespace(
             gateway=self.gateway, reply=None, route=route, identity="a"
         )
-        attempt = sending.Attempt(request, choice, None)
+        place = types.SimpleNamespace(choice=choice)
+        attempt = sending.Attempt(request, place, None)
         attempt.sent_to = self.known.announcement
         attempt.check_available()
         self.pause()
--- a/brasstrail/roles/parttrials.py
+++ b/brasstrail/roles/parttrials.py
@@ -72,17 +72,18 @@
             return False
         answer = self.gateway.hub.loop.create_future()
         self.questions[number] = answer
-        self.gateway.gossip.send_message(
-            (coordinator,), messages.TrialQuestion(part, number)
-        )
         try:
+            self.gateway.gossip.send_message(
+                (coordinator,), messages.TrialQuestion(part, number)
+            )
             return await asyncio.wait_for(answer, ANSWER_TIMEOUT_MS / 1000)
         except asyncio.TimeoutError:
-            # An answer that comes late is not used.
-            self.send_end(Trial(part, coordinator, number))
             return False
         finally:
             del self.questions[number]
+            if answer.cancelled():
+                # An answer that comes late is not used, nor is one without a caller.
+                self.send_end(Trial(part, coordinator, number))
 
     def end(self, taken):
         """Tell the coordinator of a `Trial` that the request has ended."""
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 
 from brasstrail.coordination import limits
@@ -52,22 +53,26 @@
     Parameters
     ----------
     request : the `forwarding.ForwardedRequest` to send.
-    choice : `pool.Choice`, the target server; the work counts as started there.
+    place : `places.Place` at the target server, which the caller releases.
     work : `pool.Work` of the request.
 
     Attributes
     ----------
+    choice : `pool.Choice` of the target server.
+    is_complete : whether the whole answer was received.
     tracked_run : `suspects.Run`, or None before the request is written.
     sent_to : the `servers.Announcement` of the server when the request was written.
     """
 
-    def __init__(self, request, choice, work):
+    def __init__(self, request, place, work):
         self.request = request
         self.gateway = request.gateway
         self.reply = request.reply
         self.route = request.route
-        self.choice = choice
+        self.place = place
+        self.choice = place.choice
         self.work = work
+        self.is_complete = False
         self.connection = None
         self.head = None
         self.tracked_run = None
@@ -80,25 +85,26 @@
         `refusals.NotRun`, `refusals.ExecutionUnknown`, or `refusals.Refused` if the
         request is held back meanwhile.
         """
-        started_ms = clock.now_ms()
-        is_complete = False
-        try:
-            await self.open()
-            self.write()
-            result = await self.receive_answer()
-            is_complete = True
-            self.gateway.crashes.complete(self.tracked_run, self.is_success())
-            return result
-        except refusals.ServerBrokeOff as error:
-            self.gateway.crashes.break_off(self.tracked_run, error.reason)
-            raise
-        finally:
-            self.end_tracking()
-            self.record_end()
-            held_ms = clock.now_ms() - started_ms
-            self.gateway.pool.record_service_time(self.work.service, held_ms)
-            self.gateway.release(self.choice.identity, self.work)
-            self.release_connection(is_complete)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.record_service_time, clock.now_ms())
+            stack.callback(self.release_connection)
+            stack.callback(self.record_end)
+            stack.callback(self.end_tracking)
+            try:
+                await self.open()
+                self.write()
+                result = await self.receive_answer()
+                self.is_complete = True
+                self.gateway.crashes.complete(self.tracked_run, self.is_success())
+                return result
+            except refusals.ServerBrokeOff as error:
+                self.gateway.crashes.break_off(self.tracked_run, error.reason)
+                raise
+
+    def record_service_time(self, started_ms):
+        """Record how long the request has occupied the server."""
+        held_ms = clock.now_ms() - started_ms
+        self.gateway.pool.record_service_time(self.work.service, held_ms)
 
     def end_tracking(self):
         """Give up the tracked run, unless its end is known, and end its trials.
@@ -116,11 +122,11 @@
         self.request.framings.append(self.connection.framing or "none")
         self.request.server_ends.append(self.connection.end or "unread")
 
-    def release_connection(self, is_complete):
+    def release_connection(self):
         """Return the connection to the pool for reuse, or close it."""
         if self.connection is None:
             return
-        if not is_complete or self.head.closes_connection:
+        if not self.is_complete or self.head.closes_connection:
             self.connection.close()
             return
         identity = self.choice.identity
@@ -162,8 +168,8 @@
         stream needs: it may have started again since it was last heard of.
         """
         try:
-            asking = starts.ask_start(self.gateway.dialect, self.connection)
-            born_ms = await asyncio.wait_for(asking, START_TIMEOUT_MS / 1000)
+            async with asyncio.timeout(START_TIMEOUT_MS / 1000):
+                born_ms = await starts.ask_start(self.gateway.dialect, self.connection)
         except (upstream.AnswerIncomplete, asyncio.TimeoutError) as error:
             raise refusals.NotRun("start_unknown", True) from error
         if born_ms is None or not self.connection.is_ready_for_next():
@@ -219,6 +225,8 @@
         request.versions.append(self.gateway.pool.version(self.choice.identity))
         request.attempts_made += 1
         request.runs += 1
+        request.retry_charged_ms = None
+        self.place.is_used = True
         self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
         self.connection.on_interim = self.read_interim
         self.connection.send(call.method, call.target, headers, request.body)
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -300,6 +300,18 @@
         self.stream.close()
 
 
+def abandon(connecting):
+    """Cancel a task that opens a connection, and close what it has opened."""
+    connecting.cancel()
+    connecting.add_done_callback(close_opened)
+
+
+def close_opened(connecting):
+    """Close the stream that a finished task has opened, if any."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
 def set_silence_timeouts(sock):
     """Make the operating system close a connection that becomes silent."""
     options = (
@@ -351,12 +363,21 @@
             host, port = bounds.split_address(address)
         except errors.BadRequest as error:
             raise ConnectFailed(error.message) from error
-        connecting = self.client.connect(host, port)
+        connecting = asyncio.ensure_future(self.client.connect(host, port))
+        try:
+            # `wait_for` drops a cancellation that comes together with the connection.
+            await asyncio.wait((connecting,), timeout=timeout_ms / 1000)
+        except asyncio.CancelledError:
+            abandon(connecting)
+            raise
+        if not connecting.done():
+            abandon(connecting)
+            raise ConnectFailed("There was no connection in time.")
         try:
-            stream = await asyncio.wait_for(connecting, timeout_ms / 1000)
+            stream = connecting.result()
         except ConnectionRefusedError as error:
             raise ConnectRefused(str(error)) from error
-        except (OSError, asyncio.TimeoutError, iostream.StreamClosedError) as error:
+        except (OSError, iostream.StreamClosedError) as error:
             raise ConnectFailed(str(error) or type(error).__name__) from error
         if stream.closed():
             # It was reset after it was established and before this task continued.
--- a/brasstrail/transport/upstream_test.py
+++ b/brasstrail/transport/upstream_test.py
@@ -38,6 +38,24 @@
         return stream
 
 
+class WaitingClient:
+    """Connects once it is told to; if it `is_deaf`, it also does when cancelled."""
+
+    def __init__(self, is_deaf=False):
+        self.is_deaf = is_deaf
+        self.is_connected = asyncio.Event()
+        self.stream = iostream.IOStream(socket.socket())
+
+    async def connect(self, host, port):
+        try:
+            await self.is_connected.wait()
+        except asyncio.CancelledError:
+            if not self.is_deaf:
+                raise
+            await self.is_connected.wait()
+        return self.stream
+
+
 class ConnectionOpenTest(unittest.IsolatedAsyncioTestCase):
     """Connections that fail as soon as they are established."""
 
@@ -52,6 +70,40 @@
         with self.assertRaises(upstream.ConnectFailed):
             await connections.open("127.0.0.1:1", 100)
 
+    async def test_caller_that_leaves_as_the_connection_opens_is_noticed(self):
+        """Guards against a request that is sent although its caller has left."""
+        for turns in range(4):
+            connections = upstream.ConnectionPool()
+            connections.client = WaitingClient()
+            opening = asyncio.ensure_future(connections.open("127.0.0.1:1", 1000))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            connections.client.is_connected.set()
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            is_early = not opening.done()
+            opening.cancel()
+            await asyncio.wait((opening,))
+            await asyncio.sleep(0)
+            self.assertEqual(opening.cancelled(), is_early)
+            closed = connections.client.stream.closed()
+            self.assertEqual(closed, is_early)
+            connections.client.stream.close()
+
+    async def test_connection_that_takes_too_long_is_closed_when_it_comes(self):
+        connections = upstream.ConnectionPool()
+        connections.client = WaitingClient(is_deaf=True)
+        with self.assertRaises(upstream.ConnectFailed):
+            await connections.open("127.0.0.1:1", 1)
+        connections.client.is_connected.set()
+        await asyncio.sleep(0.01)
+        self.assertTrue(connections.client.stream.closed())
+
+    async def test_address_that_cannot_be_used_raises_connect_failed(self):
+        for address in ("x", "a..b:1", "127.0.0.1:99999", "127.0.0.1:x", "host:1"):
+            with self.subTest(address), self.assertRaises(upstream.ConnectFailed):
+                await upstream.ConnectionPool().open(address, 100)
+
 
 class AnswerEndTest(unittest.IsolatedAsyncioTestCase):
     """Resets that are detected together with the end of an answer."""
