Answer every request before a planned stop ends

Cause: nothing that waits or is passed on knew of the stop. Requests were admitted for 2.6 s after SIGTERM, waited for as long as their own deadlines allowed, and at the end of the grace all connections were closed.

While a gateway stops, a request is passed on only if its whole answer can be expected before the end; one that waits is refused, with a true 503 and a Retry-After of 0.1 s, as soon as that is no longer so; 0.6 s before the process is killed what still runs gets 504, or 503 if nothing ran, and streams that have begun are cut. No request is accepted once the answers have been written.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -855,6 +855,23 @@
         """Return how long a request of a service occupies capacity, in ms."""
         return self.service_times_ms.get(service, DEFAULT_SERVICE_TIME_MS)
 
+    def expected_answer_ms(self, work):
+        """Return how long a whole answer takes, in ms, at the fastest ready server.
+
+        Other requests at the server are not counted.
+        """
+        if self.engines.get(work.service) is None:
+            return self.service_time_ms(work.service)
+        token_ms = min(
+            (
+                server.token_ms
+                for server in self.servers.values()
+                if self.is_ready(server) and work.may_run_on(server)
+            ),
+            default=DEFAULT_OUTPUT_TOKEN_MS,
+        )
+        return self.prefill_time_ms(work, 0) + work.output_tokens * token_ms
+
     def record_service_time(self, service, observed_ms):
         """Record how long a request has occupied capacity."""
         previous_ms = self.service_time_ms(service)
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -65,7 +65,7 @@
 
 def check_gateway(gateway):
     """Raise `refusals.Refused` if the gateway cannot accept any request now."""
-    if not gateway.accepts_requests:
+    if not gateway.shutdown.accepts_requests:
         raise refusals.Refused(503, "stopping", STOPPING_RETRY_S)
     if gateway.catalog is None:
         raise refusals.Refused(503, "no_document", CONTROL_RETRY_S)
--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -210,7 +210,7 @@
         """Drain the gateway, the entry and the agent, then stop all roles."""
         self.log.info("daemon: Stopping; open requests are completed first.")
         if self.gateway is not None:
-            await self.gateway.drain()
+            await self.gateway.shutdown.run()
         if self.entry is not None:
             await self.entry.drain()
         if self.agent is not None:
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -68,6 +68,7 @@
         it may go on; None before an event has been passed on, and empty if it is not
         certain which it was.
     has_begun : whether an event has been passed on.
+    is_shut_down : whether the gateway ends the request because its process stops.
     outcome : how the request ended, for the log.
     retry_charged_ms : when the retry budget was charged for a sending that has not been
         made yet, or None.
@@ -95,6 +96,7 @@
         self.versions = []
         self.software = None
         self.has_begun = False
+        self.is_shut_down = False
         self.outcome = ""
         self.retry_charged_ms = None
 
@@ -143,10 +145,22 @@
             self.reply.send_refusal(refusal, self.call, self.ran)
         except (refusals.CallerDisconnected, iostream.StreamClosedError):
             self.outcome = "caller_gone"
+        except asyncio.CancelledError:
+            if not self.is_shut_down:
+                raise
+            self.end_at_shutdown()
         except Exception as error:
             self.outcome = "fault"
             self.send_internal_error(error)
 
+    def end_at_shutdown(self):
+        """Answer a request that has not ended before the process stops, or cut it."""
+        self.outcome = "stopping"
+        refusal = refusals.Refused(503, self.outcome, admitting.STOPPING_RETRY_S)
+        if self.may_have_run:
+            refusal = refusals.Refused(504, self.outcome)
+        self.reply.send_refusal(refusal, self.call, self.ran)
+
     def send_internal_error(self, error):
         """Answer a request that failed because of an internal error."""
         self.gateway.log.error(
@@ -323,6 +337,8 @@
         gateway = self.gateway
         now_ms = clock.now_ms()
         latest_ms = self.latest_start_ms(work)
+        if now_ms > gateway.shutdown.latest_start_ms(work):
+            raise self.refusal("stopping", admitting.STOPPING_RETRY_S)
         if not self.reply.head_sent and gateway.pool.has_servers(work):
             if now_ms + gateway.pool.expected_wait_ms(work, now_ms) > latest_ms:
                 rest_ms = gateway.pool.rest_wait_ms(work, now_ms)
@@ -331,6 +347,8 @@
         place = await gateway.wait_for_server(
             work, frozenset(self.tried), max(1, latest_ms - now_ms)
         )
+        if place is None and gateway.shutdown.is_begun:
+            raise self.refusal("stopping", admitting.STOPPING_RETRY_S)
         if place is None:
             raise self.refusal("no_room", self.retry_after_s())
         self.waited_ms += clock.now_ms() - now_ms
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -29,6 +29,7 @@
     pauses,
     places,
     registry,
+    shutdown,
     subscription,
 )
 from brasstrail.transport import upstream
@@ -39,12 +40,6 @@
 # Each does so at least once within this time, which is the default of the setting
 # `control.announce_interval_ms`.
 MAX_ANNOUNCE_DELAY_MS = 1200
-# A stopping gateway accepts requests for as long as callers may still be routed to
-# it: two readiness checks one second apart, plus the time of one response.
-ACCEPT_WHILE_STOPPING_MS = 2600
-# Time reserved at the end of the shutdown grace period, after the last request must
-# have ended.
-STOP_MARGIN_MS = 400
 IDLE_TIMEOUT_MARGIN_S = 1.0
 LISTEN_BACKLOG = 1024
 # Gateways do not detect silent servers themselves; control hosts report them.
@@ -119,7 +114,7 @@
     unlisted_ms : since when a gateway has not been listed, by its `gossip.Peer`, for
         those that still count: control hosts that have just started list few, and a
         gateway that starts again is listed later than it sends its first message.
-    stopping_since_ms : when the gateway began to drain, or None.
+    shutdown : `shutdown.Shutdown`, the planned stop.
     """
 
     def __init__(self, hub, process_metrics):
@@ -150,7 +145,7 @@
         self.places = set()
         self.running = {}
         self.held_bytes = 0
-        self.stopping_since_ms = None
+        self.shutdown = shutdown.Shutdown(self)
         self.lease = lease.Lease(self.settings.lease_ms)
         self.unlisted_ms = {}
         self.last_sweep_ms = now_ms
@@ -190,31 +185,10 @@
                 server.stop()
         self.connections.close()
 
-    async def drain(self):
-        """Report not ready, then wait for running requests within the grace period."""
-        self.stopping_since_ms = clock.now_ms()
-        deadline_ms = (
-            self.stopping_since_ms + 1000 * self.settings.grace_s - STOP_MARGIN_MS
-        )
-        self.log.info("gateway: Stopping.", running=len(self.running))
-        await asyncio.sleep(ACCEPT_WHILE_STOPPING_MS / 1000)
-        self.http.stop()
-        while self.running and clock.now_ms() < deadline_ms:
-            await asyncio.sleep(0.05)
-        self.log.info("gateway: Stopped accepting requests.", running=len(self.running))
-        await self.http.close_all_connections()
-
-    @property
-    def accepts_requests(self):
-        """Whether new requests are accepted."""
-        if self.stopping_since_ms is None:
-            return True
-        return clock.now_ms() - self.stopping_since_ms < ACCEPT_WHILE_STOPPING_MS
-
     @property
     def is_ready(self):
         """Whether the readiness endpoint reports this gateway as ready."""
-        is_serving = self.stopping_since_ms is None and self.catalog is not None
+        is_serving = not self.shutdown.is_begun and self.catalog is not None
         return is_serving and self.lease.is_fresh
 
     def is_discovering_servers(self):
@@ -226,7 +200,7 @@
 
     async def wait_for_lease(self, limit_ms):
         """Wait up to `limit_ms` for a valid lease if one is expected soon."""
-        if self.stopping_since_ms is None and self.lease.is_expected:
+        if not self.shutdown.is_begun and self.lease.is_expected:
             await self.lease.wait(limit_ms)
 
     def record_use(self):
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -11,7 +11,7 @@
 from brasstrail.core import clock
 from brasstrail.fakes import scripted
 from brasstrail.protocol import messages
-from brasstrail.roles import gateway, hub, metrics, sending
+from brasstrail.roles import gateway, hub, metrics, sending, shutdown
 from brasstrail.settings import settings
 from brasstrail.state import documents
 from brasstrail.tools import ports
@@ -570,15 +570,15 @@
         self.gateway.lease.renewed_ms = clock.boot_ms() - 4000
         self.assertEqual(await self.fetch_readiness_status(), 503)
         self.renew_lease()
-        self.gateway.stopping_since_ms = clock.now_ms()
+        self.gateway.shutdown.since_ms = clock.now_ms()
         self.assertEqual(await self.fetch_readiness_status(), 503)
 
     async def test_stopping_gateway_answers_and_closes_connections(self):
         await self.serve([scripted.reply()])
-        self.gateway.stopping_since_ms = clock.now_ms()
+        self.gateway.shutdown.since_ms = clock.now_ms()
         status, headers, _ = await self.call("unsafe")
         self.assertEqual((status, headers["connection"]), (200, "close"))
-        self.gateway.stopping_since_ms -= gateway.ACCEPT_WHILE_STOPPING_MS
+        self.gateway.shutdown.since_ms -= shutdown.ACCEPT_MS
         status, headers, _ = await self.call("unsafe")
         self.assertEqual((status, headers["connection"]), (503, "close"))
 
--- a/brasstrail/roles/replies.py
+++ b/brasstrail/roles/replies.py
@@ -84,7 +84,7 @@
 
     def write_head(self, status, reason, headers, chunk=None):
         """Write the head of an answer."""
-        if self.gateway.stopping_since_ms is not None:
+        if self.gateway.shutdown.is_begun:
             headers["Connection"] = "close"
             # Makes Tornado close the connection once the answer is written.
             self.connection._disconnect_on_finish = True
