Commit to the log that a server leaves before it is acknowledged

Cause: control hosts kept withdrawals in memory only. One that starts anew takes the first report of a server that it does not know for that of a running one. The same held for draining: a late ready with a lower sequence revived the server.

Change: that a server leaves or is gone is committed to the log before the 2xx, once for each start, and applied to the known servers before a gateway's lease is confirmed. The command has the place of the one that changed nothing, so that builds that do not know it read it as such.

Red before: publisher_test, stays out after a restart of all (leaving, gone and gone without a start were all ready again), unknown start, not without a commit.

--- a/brasstrail/platform/operators.py
+++ b/brasstrail/platform/operators.py
@@ -89,10 +89,10 @@
     The platform calls a server an instance in the path.
     """
 
-    def put(self, identity):
+    async def put(self, identity):
         """Record an announcement."""
         try:
-            self.publisher.registry.announce(
+            await self.publisher.registry.announce(
                 announcements.decode(identity, self.request.body)
             )
         except errors.BrasstrailError as error:
@@ -100,10 +100,10 @@
             return
         self.send_json(200, b"{}")
 
-    def delete(self, identity):
+    async def delete(self, identity):
         """Record that the server has shut down."""
         try:
-            self.publisher.registry.announce(
+            await self.publisher.registry.announce(
                 announcements.decode_withdrawal(identity, self.request.body)
             )
         except errors.BrasstrailError as error:
--- a/brasstrail/protocol/commands.py
+++ b/brasstrail/protocol/commands.py
@@ -8,13 +8,19 @@
 import dataclasses
 
 from brasstrail.core import data
+from brasstrail.protocol import messages
 
 
 @dataclasses.dataclass(frozen=True)
-class Nothing:
-    """Change nothing; a new leader commits it to learn which entries are committed."""
+class RetireServers:
+    """Record servers that leave or are gone, so that no late report revives them.
+
+    Without records it changes nothing. Builds that know no records read each as such,
+    since it has the place of their command that changes nothing.
+    """
 
     now_ms: int = 0
+    records: tuple[messages.ServerRecord, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -196,7 +202,7 @@
 
 
 COMMANDS = (
-    Nothing,
+    RetireServers,
     ChangeConfig,
     AddMember,
     RemoveMember,
--- a/brasstrail/protocol/snapshots.py
+++ b/brasstrail/protocol/snapshots.py
@@ -14,6 +14,14 @@
     result: commands.ConfigResult
 
 
+@dataclasses.dataclass(frozen=True)
+class Retirement:
+    """The record of a server that leaves or is gone, and when it was committed."""
+
+    record: messages.ServerRecord
+    time_ms: int
+
+
 @dataclasses.dataclass(frozen=True)
 class MachineState:
     """The complete replicated state after the log entry at `index`.
@@ -35,6 +43,7 @@
     view_index: int = 0
     document_version: int = 0
     document: bytes = b""
+    retirements: tuple[Retirement, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -390,8 +390,9 @@
   dataCentre @6 :Text;
 }
 
-struct Nothing {
+struct RetireServers {
   nowMs @0 :Int64;
+  records @1 :List(ServerRecord);
 }
 
 struct ChangeConfig {
@@ -510,6 +511,7 @@
   viewIndex @9 :Int64;
   documentVersion @10 :Int64;
   document @11 :Data;
+  retirements @12 :List(Retirement);
 }
 
 struct Identity {
@@ -718,6 +720,11 @@
   result @1 :ConfigResult;
 }
 
+struct Retirement {
+  record @0 :ServerRecord;
+  timeMs @1 :Int64;
+}
+
 struct Target {
   fraction @0 :Float64;
   withinMs @1 :Int64;
@@ -792,7 +799,7 @@
 
 struct Command {
   union {
-    nothing @0 :Nothing;
+    retireServers @0 :RetireServers;
     changeConfig @1 :ChangeConfig;
     addMember @2 :AddMember;
     removeMember @3 :RemoveMember;
--- a/brasstrail/roles/largedocuments_test.py
+++ b/brasstrail/roles/largedocuments_test.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from brasstrail.protocol import messages
+from brasstrail.protocol import codec, messages
 from brasstrail.roles import daemon, publisher_test
 from brasstrail.settings import settings
 
@@ -150,6 +150,9 @@
             address="",
             data_centre="one",
             send=lambda message: sent.append(message),
+            send_payload=lambda payload: sent.append(
+                codec.decode(codec.MESSAGE, payload)
+            ),
         )
         watch = messages.Watch(1, 0, False, "127.0.0.1:1")
         for version in range(5, 15):
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -8,7 +8,8 @@
 
 Control hosts exchange the lists of gateways that subscribe to them. These lists are
 not replicated in the log: after a loss of all state they are rebuilt within seconds.
-The announcements of backend servers are kept in a `registry`.
+The announcements of backend servers are kept in a `registry`; that a server leaves or
+is gone is committed to the log before it is acknowledged.
 """
 
 import asyncio
@@ -31,6 +32,8 @@
 APPLY_TIMEOUT_S = 1.0
 APPLY_POLL_S = 0.005
 COMMIT_TIMEOUT_S = 1.5
+# Servers wait a second for the answer to an announcement.
+RETIRE_TIMEOUT_S = 0.9
 # A document that a gateway has not reported for this long no longer holds back newer
 # ones: longer than the slowest links between regions take for one.
 UNDERWAY_TIMEOUT_MS = 10_000
@@ -106,10 +109,12 @@
         hub.handlers.append(self)
         self.applied_version = 0
         control.listeners.append(self.on_document_applied)
+        control.listeners.append(self.registry.apply_retirements)
 
     def start(self):
         """Register the gauges and start the periodic work."""
         self.register_gauges()
+        self.registry.apply_retirements()
         self.ticker.start()
 
     def register_gauges(self):
@@ -292,17 +297,7 @@
         """
         arrived_ms = clock.now_ms()
         command = commands.ReplaceDocument(version, documents.pack(body))
-        result_future = self.hub.loop.create_future()
-
-        def answer(result):
-            if not result_future.done():
-                result_future.set_result(result)
-
-        self.control.submit(codec.encode(codec.COMMAND, command), answer)
-        try:
-            result = await asyncio.wait_for(result_future, COMMIT_TIMEOUT_S)
-        except asyncio.TimeoutError:
-            result = messages.Outcome("", False, b"")
+        result = await self.commit(command, COMMIT_TIMEOUT_S)
         self.log.info(
             "publisher: A document was proposed.",
             version=version,
@@ -319,6 +314,45 @@
                 "Send it again, to any control host.",
             )
 
+    async def retire(self, record):
+        """Commit a `messages.ServerRecord` of a server that leaves or is gone.
+
+        Raises `errors.NoQuorum` if it is not committed in time.
+        """
+        arrived_ms = clock.now_ms()
+        command = commands.RetireServers(clock.wall_ms(), (record,))
+        result = await self.commit(command, RETIRE_TIMEOUT_S)
+        self.log.info(
+            "publisher: That a server leaves was proposed.",
+            server=record.identity,
+            born=record.born_ms,
+            phase=record.phase,
+            committed=result.committed,
+            took_ms=clock.now_ms() - arrived_ms,
+        )
+        if not result.committed:
+            raise errors.NoQuorum(
+                "That the server leaves was not committed in time; it may still be.",
+                "Say it again, to any control host.",
+            )
+
+    async def commit(self, command, timeout_s):
+        """Return the `messages.Outcome` of a command, after a time-out at the latest.
+
+        A command that was not committed in time may still be.
+        """
+        result_future = self.hub.loop.create_future()
+
+        def answer(result):
+            if not result_future.done():
+                result_future.set_result(result)
+
+        self.control.submit(codec.encode(codec.COMMAND, command), answer)
+        try:
+            return await asyncio.wait_for(result_future, timeout_s)
+        except asyncio.TimeoutError:
+            return messages.Outcome("", False, b"")
+
     async def read_document(self):
         """Return the body of the newest document, or None if there is no document.
 
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -136,7 +136,10 @@
     async def call(self, control, method, path, body=None):
         address = control.settings.control.document_address
         request = httpclient.HTTPRequest(
-            f"http://{address}{path}", method=method, body=body
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            allow_nonstandard_methods=True,
         )
         client = httpclient.AsyncHTTPClient(force_instance=True)
         self.addCleanup(client.close)
@@ -275,6 +278,100 @@
         self.assertEqual([each.committed for each in answers], [False])
         self.assertEqual(leader.control.replication.replica.raft.log.last_index, before)
 
+    async def restart_all(self):
+        """Stop all processes at once and start them again."""
+        everything = (*self.controls, *self.gateways)
+        loaded = [each.settings for each in everything]
+        for each in everything:
+            each.stack.close()
+        count = len(self.controls)
+        self.controls = [await self.start(each) for each in loaded[:count]]
+        self.gateways = [await self.start(each) for each in loaded[count:]]
+
+    async def report(self, control, identity, method="PUT", **fields):
+        """Send a report of a server, or its withdrawal; return the status."""
+        body = orjson.dumps({**ANNOUNCEMENT, **fields})
+        if method == "DELETE":
+            body = None if not fields else orjson.dumps(fields)
+        path = f"/v1/instances/{identity}"
+        reply = await self.call(control, method, path, body)
+        return reply.code
+
+    async def report_until_acknowledged(self, identity, **options):
+        """Send a report to the control hosts in turn until one acknowledges it."""
+        for _ in range(200):
+            for control in self.controls:
+                if await self.report(control, identity, **options) == 200:
+                    return
+            await asyncio.sleep(0.05)
+        raise AssertionError("The report was not acknowledged.")
+
+    async def test_server_that_has_left_stays_out_after_a_restart_of_all(self):
+        """Guards against a late report that brings a server back that had left."""
+        ends = {
+            "leaving": {"state": "draining", "sequence": 7},
+            "gone": {"method": "DELETE", "born": 5},
+            "gone-unnamed": {"method": "DELETE"},
+            "ready": {"sequence": 7},
+        }
+        for identity, fields in ends.items():
+            address = f"127.0.0.1:{1000 + len(identity)}"
+            await self.report_until_acknowledged(identity, address=address)
+            if fields.get("method") != "DELETE":
+                fields["address"] = address
+            await self.report_until_acknowledged(identity, **fields)
+        await self.restart_all()
+        for identity in ends:
+            address = f"127.0.0.1:{1000 + len(identity)}"
+            await self.report(self.controls[0], identity, address=address, sequence=6)
+        await wait_until(self.is_settled)
+        for identity in ends:
+            address = f"127.0.0.1:{1000 + len(identity)}"
+            await self.report_until_acknowledged(identity, address=address, sequence=6)
+        for each in self.gateways:
+            server_pool = each.gateway.pool
+            await wait_until(lambda pool=server_pool: pool.has_servers(WORK))
+            ready = [
+                identity
+                for identity, server in server_pool.servers.items()
+                if server_pool.is_ready(server)
+            ]
+            self.assertEqual(ready, ["ready"])
+
+    async def test_new_start_of_a_server_that_has_left_is_used(self):
+        await self.report_until_acknowledged("i-6")
+        await self.report_until_acknowledged("i-6", method="DELETE", born=5)
+        await self.restart_all()
+        await wait_until(self.is_settled)
+        await self.report_until_acknowledged("i-6", born=6)
+        for each in self.gateways:
+            server_pool = each.gateway.pool
+            await wait_until(lambda pool=server_pool: pool.has_servers(WORK))
+
+    async def test_end_of_an_unknown_start_is_not_acknowledged_too_early(self):
+        """A control host that has just started does not know which start is meant."""
+        first = self.controls[0]
+        registry = first.publisher.registry
+        self.assertEqual(await self.report(first, "i-7", method="DELETE"), 503)
+        registry.started_ms -= 60_000
+        self.assertEqual(await self.report(first, "i-7", method="DELETE"), 200)
+
+    async def test_end_of_a_server_is_not_acknowledged_without_a_commit(self):
+        first = self.controls[0]
+        await self.report_until_acknowledged("i-8")
+        submit = first.control.submit
+        self.addCleanup(setattr, first.control, "submit", submit)
+        first.control.submit = lambda payload, answer: answer(
+            messages.Outcome("", False, b"")
+        )
+        status = await self.report(first, "i-8", method="DELETE", born=5)
+        self.assertEqual(status, 503)
+        first.control.submit = submit
+        status = await self.report(first, "i-8", method="DELETE", born=5)
+        self.assertEqual(status, 200)
+        committed = first.control.machine.retirements
+        await wait_until(lambda: "i-8" in committed.by_identity)
+
     async def test_control_host_without_quorum_confirms_nothing(self):
         body = orjson.dumps(DOCUMENT)
         await self.call(self.controls[0], "PUT", "/v1/configuration", body)
@@ -284,7 +381,7 @@
         reply = await self.call(self.controls[0], "GET", "/v1/configuration")
         self.assertEqual(reply.code, 503)
         with self.assertRaises(errors.NoQuorum):
-            self.controls[0].publisher.registry.announce(make_announcement("i-2"))
+            await self.controls[0].publisher.registry.announce(make_announcement("i-2"))
         known_servers = self.controls[0].publisher.registry.directory.known
         self.assertIn("i-2", known_servers)
         renewed = self.gateways[0].gateway.lease.renewed_ms
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -2,9 +2,10 @@
 
 Only a host that reaches the quorum acknowledges an announcement. Changes are sent to
 the other control hosts and to the gateways at once, and each second control hosts
-exchange the announcements received since the last exchange. Nothing here is replicated
-in the log: after a loss of all state the servers announce themselves again within
-seconds.
+exchange the announcements received since the last exchange. That a server leaves or is
+gone is also committed to the replicated log before it is acknowledged, since a report
+from before may arrive after a loss of all state. Servers that are ready announce
+themselves again within seconds.
 """
 
 import dataclasses
@@ -73,15 +74,62 @@
 
     # Announcements.
 
-    def announce(self, announcement):
+    async def announce(self, announcement):
         """Record a server's announcement and publish it if it changes anything.
 
         It is recorded even without a quorum, so that all servers are known as soon as
         a quorum is reached again. Raises `errors.NoQuorum` if this host may not
-        acknowledge it, since this could be the only host that received it.
+        acknowledge it, since this could be the only host that received it, and
+        `errors.NotReady` if it does not know yet which start has ended.
         """
+        announcement = self.with_start(announcement)
+        was_ready = self.is_ready(announcement.identity)
         self.record_announcement(announcement, clock.now_ms(), to_peers=True)
         self.publisher.check_confirmed()
+        if announcement.phase is servers.ServerPhase.READY:
+            return
+        record = to_record(announcement, 0)
+        if was_ready or not self.retirements.covers(record):
+            await self.publisher.retire(record)
+
+    @property
+    def retirements(self):
+        """The committed `retirements.Retirements`."""
+        return self.publisher.control.machine.retirements
+
+    def is_ready(self, identity):
+        """Return whether a server is known to be ready."""
+        known = self.directory.known.get(identity)
+        return known is not None and known.phase is servers.ServerPhase.READY
+
+    def with_start(self, announcement):
+        """Return an announcement with the start that it means, if it states none."""
+        is_gone = announcement.phase is servers.ServerPhase.GONE
+        if not is_gone or announcement.born_ms:
+            return announcement
+        identity = announcement.identity
+        known = self.directory.known.get(identity)
+        committed = self.retirements.by_identity.get(identity)
+        if known is not None:
+            born_ms = known.announcement.born_ms
+        elif committed is not None:
+            born_ms = committed.record.born_ms
+        elif self.is_complete:
+            return announcement
+        else:
+            raise errors.NotReady(
+                "This control host does not know yet which servers run.",
+                "Withdraw again, here or at another control host.",
+            )
+        return dataclasses.replace(announcement, born_ms=born_ms)
+
+    def apply_retirements(self):
+        """Record the servers that leave or are gone that were committed lately."""
+        now_ms = clock.now_ms()
+        records = tuple(each.record for each in self.retirements.take_news())
+        update = messages.Directory(False, records)
+        for _, announcement, _ in valid_records(update, self.log):
+            self.record_announcement(announcement, now_ms, to_peers=False)
 
     def record_announcement(self, announcement, seen_ms, to_peers):
         """Record an announcement received at `seen_ms`; publish any change."""
--- a/brasstrail/state/machine.py
+++ b/brasstrail/state/machine.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from brasstrail.protocol import codec, commands, snapshots
-from brasstrail.state import documents, ledger, view
+from brasstrail.state import documents, ledger, retirements, view
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,6 +32,7 @@
     index : the index of the last applied log entry.
     time_ms : the latest time of a command, in milliseconds.
     document : the operators' document, as `documents.LatestDocument`.
+    retirements : `retirements.Retirements`, the servers that leave or are gone.
     """
 
     def __init__(self):
@@ -40,12 +41,13 @@
         self.view = view.View()
         self.ledger = ledger.Ledger()
         self.document = documents.LatestDocument()
+        self.retirements = retirements.Retirements()
 
     def apply(self, entry):
         """Apply a log entry and return its command as an `AppliedCommand`."""
         self.index = entry.index
         if not entry.command:
-            return AppliedCommand(commands.Nothing(), b"")
+            return AppliedCommand(commands.RetireServers(), b"")
         command = self.with_monotonic_time(codec.decode(codec.COMMAND, entry.command))
         must_notify_members = self.view.is_relevant_to_members(command)
         if must_notify_members:
@@ -69,6 +71,8 @@
             return self.view.apply(command)
         if isinstance(command, commands.ReplaceDocument):
             return self.document.replace(command)
+        if isinstance(command, commands.RetireServers):
+            return self.retirements.apply(command)
         if type(command) in ledger.HANDLERS:
             return self.ledger.apply(command)
         return commands.Plain(True)
@@ -88,6 +92,7 @@
             self.view.index,
             self.document.version,
             self.document.packed,
+            tuple(self.retirements.by_identity.values()),
         )
         return codec.encode(codec.SNAPSHOT, state)
 
@@ -109,3 +114,4 @@
             self.view.changes[item.change_id] = item.result
         self.ledger = ledger.Ledger(state.executions)
         self.document = documents.LatestDocument(state.document_version, state.document)
+        self.retirements = retirements.Retirements(state.retirements)
