Charge an allotment when a request is admitted, not when it arrived

Callers saw (QUOTA): a workspace got more than its limit after a cut or a restart.

Cause: a request that waits for the gateway's lease is charged with the time of its arrival, up to 1.5 s before. It happens wherever many requests wait for a lease at once: after a cut, a loss of control hosts, a restart of all.

Change: the charge takes the present time, and a bucket's clock does not go back.

Red before: allotments_test.ClockTest, gateway_test, test_request_that_waited_for_the_lease.

--- a/brasstrail/coordination/allotments.py
+++ b/brasstrail/coordination/allotments.py
@@ -188,7 +188,7 @@
             return
         elapsed_s = max(0, now_ms - bucket.refilled_ms) / MS_PER_SECOND
         refilled = elapsed_s * self.usable_rate(allotment, now_ms)
-        bucket.refilled_ms = now_ms
+        bucket.refilled_ms = max(bucket.refilled_ms, now_ms)
         capacity = self.bucket_capacity(allotment)
         if bucket.level < capacity:
             bucket.level = min(capacity, bucket.level + refilled)
--- a/brasstrail/coordination/allotments_test.py
+++ b/brasstrail/coordination/allotments_test.py
@@ -114,5 +114,19 @@
         self.assertEqual(gateway.acquire("w", BURST, 0), 0.0)
 
 
+class ClockTest(unittest.TestCase):
+    """Calls whose times are not in order."""
+
+    def test_earlier_time_does_not_refill_twice(self):
+        """Guards against requests that waited, each of which refilled the bucket."""
+        gateway = allotments.Allotments(0)
+        gateway.configure((make_access(),), 0)
+        gateway.acquire("w", BURST, 0)
+        for _ in range(10):
+            gateway.acquire("w", 0.0, 0)
+            gateway.acquire("w", 0.0, 1000)
+        self.assertEqual(gateway.buckets["w"].level, RATE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from brasstrail.core import catalog
+from brasstrail.core import catalog, clock
 from brasstrail.roles import refusals
 
 # Values of Retry-After. A caller can use another gateway at once if this one is
@@ -51,7 +51,7 @@
         tier = access.tier
     service = catalog.choose_service(route, random.random())
     gateway.budget.record_request(service, arrived_ms)
-    cost = take_allotment(gateway, access, call, arrived_ms)
+    cost = take_allotment(gateway, access, call)
     return AdmittedRequest(
         route,
         (tier, route.tier),
@@ -92,12 +92,15 @@
     return access
 
 
-def take_allotment(gateway, access, call, now_ms):
-    """Charge a request's cost to its workspace; return the cost."""
+def take_allotment(gateway, access, call):
+    """Charge a request's cost to its workspace; return the cost.
+
+    It is charged now, however long the request has waited for the lease.
+    """
     if access is None:
         return 0.0
     cost = allotment_cost(call, access.allotment)
-    wait_s = gateway.allotments.acquire(access.workspace, cost, now_ms)
+    wait_s = gateway.allotments.acquire(access.workspace, cost, clock.now_ms())
     if wait_s:
         raise refusals.Refused(429, "allotment", max(MIN_RETRY_S, wait_s))
     gateway.gossip.send_soon()
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -573,6 +573,27 @@
         self.gateway.shutdown.since_ms = clock.now_ms()
         self.assertEqual(await self.fetch_readiness_status(), 503)
 
+    async def test_request_that_waited_for_the_lease_is_charged_when_admitted(self):
+        """Guards against a bucket that is refilled again for the time of each wait."""
+        await self.serve([scripted.reply()])
+        self.gateway.lease.renewed_ms = clock.boot_ms() - self.gateway.lease.duration_ms
+        acquire = self.gateway.allotments.acquire
+        charged_ms = []
+
+        def record(workspace, cost, now_ms):
+            charged_ms.append(now_ms)
+            return acquire(workspace, cost, now_ms)
+
+        self.gateway.allotments.acquire = record
+        calling = asyncio.ensure_future(self.call("safe"))
+        await asyncio.sleep(0.1)
+        renewed_ms = clock.now_ms()
+        self.renew_lease()
+        self.gateway.on_lease_renewed()
+        status, _, _ = await calling
+        self.assertEqual(status, 200)
+        self.assertGreaterEqual(min(charged_ms), renewed_ms)
+
     async def test_stopping_gateway_answers_and_closes_connections(self):
         await self.serve([scripted.reply()])
         self.gateway.shutdown.since_ms = clock.now_ms()
