Take an answer that ends within its head for a broken one at agents

Another operator reported clients that got a 200 with an empty body, framed as whole, after a server had stopped in the middle of its answer's head and closed.

A status line without a status raised an untyped error within a callback of libcurl.

Change: a call that ends before the empty line of its head has failed, and its request may have run.

Red before: plainrun_test, test_answer_that_ends_within_its_head_is_a_fault (all pieces that hold a status line) and test_unreadable_head_is_a_fault.

--- a/brasstrail/fakes/scripted.py
+++ b/brasstrail/fakes/scripted.py
@@ -173,6 +173,20 @@
     return step
 
 
+def cut_heads(content_type="text/plain"):
+    """Return pieces of an answer that end within its head, with or without a body.
+
+    The answer's length comes last, so that some have all other headers.
+    """
+    head = (
+        b"HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Attempt-Id: 42\r\n"
+        b"Content-Type: %s\r\nContent-Length: 800\r\n\r\n" % content_type.encode()
+    )
+    ends = [index + 2 for index in range(len(head)) if head[index:].startswith(b"\r\n")]
+    inside = [1, 9, 13, 20, len(head) - 10, len(head) - 3, len(head) - 1]
+    return tuple(head[:end] for end in sorted({*ends[:-1], *inside}))
+
+
 def reply_without_length(body, is_reset):
     """Return a step whose response has no length and ends when the connection closes.
 
--- a/brasstrail/roles/backend.py
+++ b/brasstrail/roles/backend.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import re
 
 import orjson
 import pycurl
@@ -17,6 +18,7 @@
 NO_TIMEOUT_S = 0
 MAX_CLIENTS = 1000
 MAX_HELD_BYTES = 65536
+STATUS_LINE = re.compile(r"HTTP/\S+ ([1-9][0-9]{2})(?: |$)")
 UNSENT_ERRNOS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -126,9 +128,18 @@
             self.failure = Failure(str(error) or type(error).__name__, True)
         finally:
             self.curl = None
+            self.check_head()
             self.ended = True
             self.state_changed.set()
 
+    def check_head(self):
+        """Set `failure` if the answer has ended before its head did.
+
+        For libcurl a head may end with its connection.
+        """
+        if not self.head_received and self.failure is None:
+            self.failure = Failure("its answer ended within the head", True)
+
     def configure_curl(self, curl):
         """Set callbacks that can pause or abort the transfer.
 
@@ -150,7 +161,8 @@
         """
         line = line.strip()
         if line.startswith("HTTP/"):
-            self.status = int(line.split()[1])
+            status = STATUS_LINE.match(line)
+            self.status = int(status[1]) if status else 0
             self.lines = []
         elif line:
             self.lines.append(line)
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -278,6 +278,20 @@
                 self.assertEqual((len(first.requests), len(second.requests)), (1, 0))
                 self.remove_servers()
 
+    async def test_answer_that_ends_within_its_head_is_no_answer(self):
+        """Guards against an empty or short answer that looks complete."""
+        for content_type in ("text/plain", "text/event-stream"):
+            for sent in scripted.cut_heads(content_type):
+                for route in ("unsafe", "stream", "resumed"):
+                    with self.subTest(sent[-24:], route=route):
+                        self.renew_lease()
+                        (server,) = await self.serve([scripted.send_and_close(sent)])
+                        status, headers, body = await self.call(f"{route}/{len(sent)}")
+                        self.assertEqual(status, 502, body)
+                        self.assertNotIn("x-server-signature", headers)
+                        server.close()
+                        self.remove_servers()
+
     async def test_idempotent_request_is_retried_up_to_max_attempts(self):
         for step in (
             scripted.send_and_close(),
--- a/brasstrail/roles/plainrun_test.py
+++ b/brasstrail/roles/plainrun_test.py
@@ -89,6 +89,25 @@
                     agent = await self.run_request(step)
                     self.assertIsInstance(agent.sent[-1], messages.Fault)
 
+    async def test_answer_that_ends_within_its_head_is_a_fault(self):
+        """Guards against an answer that is passed on as complete and empty."""
+        for content_type in ("text/plain", "text/event-stream"):
+            for sent in scripted.cut_heads(content_type):
+                for key in ("", "key"):
+                    with self.subTest(sent[-24:], key=key):
+                        step = scripted.send_and_close(sent)
+                        agent = await self.run_request(step, key)
+                        self.assertIsInstance(agent.sent[-1], messages.Fault)
+                        kinds = [type(each) for each in agent.sent]
+                        self.assertNotIn(messages.Head, kinds)
+
+    async def test_unreadable_head_is_a_fault(self):
+        for line in (b"HTTP/1.1", b"HTTP/1.1 x", b"HTTP/1.1 99999999999 OK"):
+            with self.subTest(line):
+                step = scripted.send_and_close(line + b"\r\nA: b\r\n\r\n")
+                agent = await self.run_request(step)
+                self.assertIsInstance(agent.sent[-1], messages.Fault)
+
     async def test_whole_answer_is_passed_on(self):
         for framing in FRAMINGS:
             for content_type in ("text/plain", "text/event-stream"):
