Keep a workspace's limit over cuts, restarts and pauses of gateways

Cause, the second of two: each gateway began with a full bucket, also after a restart; a gateway that no longer heard another took its part at once, while the other, alive, kept spending; a gateway cut off kept the part it had; and what was spent since the last message was known to nobody.

Change: - A bucket starts empty. A gateway that starts takes over what the others tell is left, and spends a trial share until then, also after a pause. - The part of a silent gateway is set aside after 1.5 s, and divided again only when a list that a quorum confirmed has been without it for 6 s. - Spending not yet told is estimated by its rate; when little is left, requests are let in at the pace at which the allotment comes back. - A gateway that was held up catches up with the messages that wait before it lets requests in, and tells its last state when it is stopped. - The window of the users' rule is the setting `allotment_window_s`.

The tests of allotments start their gateways in the past now, since a bucket is not full at its start; what they expect has not changed.

--- a/brasstrail/coordination/allotments_test.py
+++ b/brasstrail/coordination/allotments_test.py
@@ -1,5 +1,6 @@
 """Tests of allotments: the bound on the sum over gateways, also when partitioned."""
 
+import dataclasses
 import random
 import unittest
 
@@ -9,6 +10,8 @@
 RATE = 1000.0
 BURST = 2000.0
 STEP_MS = 50
+# Gateways have run for long enough to have full buckets.
+UPTIME_MS = 10_000
 # The users' bound allows this factor above rate and burst.
 MAX_OVERRUN_FACTOR = 1.1
 
@@ -27,7 +30,7 @@
         self.gateways = {}
         self.partitioned = set()
         for name in self.names:
-            self.gateways[name] = allotments.Allotments(0)
+            self.gateways[name] = allotments.Allotments(-UPTIME_MS)
             self.gateways[name].configure((make_access(),), 0)
         for name, gateway in self.gateways.items():
             gateway.set_peers([other for other in self.names if other != name], 0)
@@ -37,7 +40,7 @@
         for name, gateway in self.gateways.items():
             for other, peer in self.gateways.items():
                 if other != name and not {name, other} & self.partitioned:
-                    peer.record_peer_spending(name, 1, dict(gateway.spent), now_ms)
+                    peer.record_report(name, 1, gateway.report(now_ms), now_ms)
 
     def request_excess(self, now_ms, generator):
         """Request far more than is allowed at every gateway; return what it admits."""
@@ -94,12 +97,12 @@
             fleet.exchange_spending(now_ms)
 
     def test_zero_rate_means_unlimited(self):
-        gateway = allotments.Allotments(0)
+        gateway = allotments.Allotments(-UPTIME_MS)
         gateway.configure((make_access(rate=0.0),), 0)
         self.assertEqual(gateway.acquire("w", 1e9, 0), 0.0)
 
     def test_refusal_returns_time_until_enough_is_available(self):
-        gateway = allotments.Allotments(0)
+        gateway = allotments.Allotments(-UPTIME_MS)
         gateway.configure((make_access(),), 0)
         gateway.acquire("w", BURST, 0)
         wait_s = gateway.acquire("w", 500, 0)
@@ -107,7 +110,7 @@
         self.assertEqual(gateway.acquire("w", 500, int(wait_s * 1000) + 1), 0.0)
 
     def test_cost_of_request_that_did_not_run_is_refunded(self):
-        gateway = allotments.Allotments(0)
+        gateway = allotments.Allotments(-UPTIME_MS)
         gateway.configure((make_access(),), 0)
         gateway.acquire("w", BURST, 0)
         gateway.refund("w", BURST)
@@ -119,13 +122,130 @@
 
     def test_earlier_time_does_not_refill_twice(self):
         """Guards against requests that waited, each of which refilled the bucket."""
-        gateway = allotments.Allotments(0)
+        gateway = allotments.Allotments(-UPTIME_MS)
         gateway.configure((make_access(),), 0)
         gateway.acquire("w", BURST, 0)
         for _ in range(10):
             gateway.acquire("w", 0.0, 0)
             gateway.acquire("w", 0.0, 1000)
-        self.assertEqual(gateway.buckets["w"].level, RATE)
+        self.assertEqual(gateway.left("w", 1000), RATE)
+
+
+class StartTest(unittest.TestCase):
+    """Gateways that have just started, beside others that have spent all."""
+
+    def make_gateway(self, started_ms=0, incarnation=1):
+        gateway = allotments.Allotments(started_ms, 0.0, incarnation)
+        gateway.configure((make_access(),), 0)
+        return gateway
+
+    def left(self, gateway, now_ms):
+        return round(gateway.left("w", now_ms))
+
+    def test_bucket_starts_empty_and_one_of_a_later_document_full(self):
+        gateway = self.make_gateway()
+        self.assertEqual(self.left(gateway, 0), 0)
+        self.assertEqual(self.left(gateway, 1000), RATE)
+        later = dataclasses.replace(make_access(), workspace="v")
+        gateway.configure((make_access(), later), 1000)
+        self.assertEqual(round(gateway.left("v", 1000)), BURST)
+
+    def test_bucket_is_full_once_what_came_before_counts_no_more(self):
+        """Guards against a burst that a slow rate gives back over minutes."""
+        allotment = catalog.Allotment(catalog.AllotmentUnit.TOKENS, 1.0, BURST)
+        gateway = allotments.Allotments(0, window_s=8.0)
+        access = dataclasses.replace(make_access(), allotment=allotment)
+        gateway.configure((access,), 0)
+        self.assertEqual(self.left(gateway, 7000), 7)
+        gateway.acquire("w", 5, 7000)
+        self.assertEqual(self.left(gateway, 8000), BURST)
+
+    def test_level_is_taken_over_from_a_gateway_that_has_run(self):
+        """Guards against a whole bucket for each gateway that starts."""
+        earlier = self.make_gateway(-UPTIME_MS)
+        earlier.acquire("w", BURST - 300, 0)
+        gateway = self.make_gateway(incarnation=2)
+        gateway.set_peers(["g0"], 0)
+        gateway.record_report("g0", 1, earlier.report(0), 0)
+        self.assertEqual(self.left(gateway, 0), 300)
+        self.assertFalse(gateway.is_learning(0))
+
+    def test_gateway_that_starts_tells_no_levels(self):
+        self.assertIsNone(self.make_gateway().report(0).levels)
+        self.assertEqual(self.make_gateway(-UPTIME_MS).report(0).levels, {})
+
+    def test_spending_of_a_later_start_counts_from_its_beginning(self):
+        """Guards against spending before the first report that nobody counts."""
+        gateway = self.make_gateway(-UPTIME_MS, incarnation=5)
+        cases = (
+            ("a later start", [(7, 400)], BURST - 400),
+            ("one that has run for longer", [(3, 400)], BURST),
+            ("a start after another one", [(3, 400), (4, 100)], BURST - 100),
+        )
+        for number, (name, reports, expected) in enumerate(cases):
+            with self.subTest(name):
+                gateway = self.make_gateway(-UPTIME_MS, incarnation=5)
+                for incarnation, total in reports:
+                    report = allotments.Report({"w": total})
+                    gateway.record_report("g0", incarnation, report, 0)
+                self.assertEqual(self.left(gateway, 0), expected)
+
+    def test_returned_cost_is_returned_at_the_others(self):
+        gateway = self.make_gateway(-UPTIME_MS)
+        for total in (0, 700, 200):
+            gateway.record_report("g0", 9, allotments.Report({"w": total}), 0)
+        self.assertEqual(self.left(gateway, 0), BURST - 200)
+
+    def test_report_without_totals_keeps_a_gateway_from_being_silent(self):
+        gateway = self.make_gateway(-UPTIME_MS)
+        gateway.record_report("g0", 9, allotments.Report({"w": 0}), 0)
+        for now_ms in range(0, 5000, 500):
+            gateway.record_report("g0", 9, allotments.Report(), now_ms)
+            gateway.check_silence(now_ms)
+        self.assertEqual(gateway.silent_count, 0)
+        self.assertEqual(self.left(gateway, 5000), BURST)
+
+    def test_what_is_set_aside_for_a_silent_gateway_is_returned(self):
+        gateway = self.make_gateway(-UPTIME_MS)
+        gateway.record_report("g0", 9, allotments.Report({"w": 0}), 0)
+        self.assertEqual(self.left(gateway, 1600), BURST / 2)
+        gateway.acquire("w", BURST / 2, 1600)
+        gateway.record_report("g0", 9, allotments.Report(), 1650)
+        self.assertLess(self.left(gateway, 1700), BURST / 2)
+        gateway.record_report("g0", 9, allotments.Report({"w": 100}), 1700)
+        own_share = RATE / 2 * 0.1
+        self.assertEqual(self.left(gateway, 1700), BURST / 2 + 2 * own_share - 100)
+
+    def test_gateway_that_is_cut_off_with_a_control_host_keeps_to_its_share(self):
+        """Guards against a list without the others, which no quorum has confirmed."""
+        gateway = self.make_gateway(-UPTIME_MS)
+        gateway.set_peers(["g0", "g1"], 0)
+        for name in ("g0", "g1"):
+            gateway.record_report(name, 9, allotments.Report({"w": 0}), 0)
+        for now_ms in range(0, 6000, 500):
+            gateway.set_peers([], now_ms)
+            gateway.check_silence(now_ms)
+        self.assertEqual(
+            gateway.usable_rate(gateway.workspace_allotments["w"]), RATE / 3
+        )
+        gateway.drop_unlisted(6500)
+        self.assertEqual(gateway.usable_rate(gateway.workspace_allotments["w"]), RATE)
+
+    def test_total_of_a_gateway_that_was_dropped_is_not_new(self):
+        gateway = self.make_gateway(-UPTIME_MS, incarnation=5)
+        gateway.record_report("g0", 7, allotments.Report({"w": 100}), 0)
+        gateway.drop_unlisted(7000)
+        gateway.record_report("g0", 7, allotments.Report({"w": 1900}), 7000)
+        self.assertEqual(self.left(gateway, 7000), BURST)
+
+    def test_pause_refills_no_more_than_others_have_left(self):
+        gateway = self.make_gateway(-UPTIME_MS)
+        gateway.record_report("g0", 9, allotments.Report({"w": 0}), 0)
+        gateway.begin_catch_up(5000)
+        gateway.record_report("g0", 9, allotments.Report({"w": 5 * RATE}), 5000)
+        gateway.end_catch_up(5000, 5000)
+        self.assertEqual(gateway.buckets["w"].level, BURST)
+        self.assertTrue(gateway.is_learning(5000))
 
 
 if __name__ == "__main__":
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -441,6 +441,9 @@
         """Queue a datagram."""
         self.platform.datagrams.append((self.address, address, payload))
 
+    def read_waiting(self):
+        """Do nothing: datagrams are delivered by the platform."""
+
     def close(self):
         """Do nothing."""
 
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -760,8 +760,11 @@
 
     The load and the spending are in the records `shares` and `spent` or, if all other
     gateways read that, in columns, which are decoded in a fraction of the time: the
-    four from `identities` on have a row for each server, the last two one for each
+    four from `identities` on have a row for each server, the next two one for each
     workspace. `reads_columns` tells that the sender reads columns.
+
+    If it `tells_levels`, the last two columns hold what is left of the allotments that
+    are not full, and the spending is told, too.
     """
 
     name: str
@@ -779,6 +782,9 @@
     output_tokens: tuple[int, ...] = ()
     workspaces: tuple[str, ...] = ()
     amounts: tuple[float, ...] = ()
+    tells_levels: bool = False
+    level_workspaces: tuple[str, ...] = ()
+    levels: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -306,6 +306,9 @@
   outputTokens @12 :List(Int64);
   workspaces @13 :List(Text);
   amounts @14 :List(Float64);
+  tellsLevels @15 :Bool;
+  levelWorkspaces @16 :List(Text);
+  levels @17 :List(Float64);
 }
 
 struct StreamOrigins {
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -97,16 +97,34 @@
 
     It is charged now, however long the request has waited for the lease.
     """
+    now_ms = clock.now_ms()
     if access is None:
         return 0.0
     cost = allotment_cost(call, access.allotment)
-    wait_s = gateway.allotments.acquire(access.workspace, cost, clock.now_ms())
+    gateway.catch_up(now_ms)
+    wait_s = gateway.allotments.acquire(access.workspace, cost, now_ms)
     if wait_s:
+        log_refusal(gateway, access.workspace, call, cost, wait_s)
         raise refusals.Refused(429, "allotment", max(MIN_RETRY_S, wait_s))
     gateway.gossip.send_soon()
     return cost
 
 
+def log_refusal(gateway, workspace, call, cost, wait_s):
+    """Log that a request is beyond the allotment of its workspace."""
+    standing = gateway.allotments.standing(workspace, clock.now_ms())
+    gateway.log.info(
+        "admitting: A request is beyond the allotment.",
+        id=call.attempt_id,
+        workspace=workspace,
+        cost=cost,
+        left=round(standing.left),
+        rate=round(standing.rate),
+        silent=standing.silent,
+        wait_s=round(wait_s, 3),
+    )
+
+
 def allotment_cost(call, allotment):
     """Return the cost of a request in the allotment's unit: requests or tokens."""
     if allotment.unit is catalog.AllotmentUnit.REQUESTS:
--- a/brasstrail/roles/columns.py
+++ b/brasstrail/roles/columns.py
@@ -5,7 +5,7 @@
 
 import math
 
-from brasstrail.coordination import pool
+from brasstrail.coordination import allotments, pool
 from brasstrail.core import errors
 from brasstrail.protocol import messages
 
@@ -71,12 +71,42 @@
     else:
         check_lengths(state, state.workspaces, state.amounts)
         spent = dict(zip(state.workspaces, state.amounts, strict=True))
-    if not all(map(math.isfinite, spent.values())):
+    check_finite(state, spent.values())
+    return spent
+
+
+def level_fields(levels):
+    """Return the fields of a state for the levels of buckets; None are not told."""
+    if levels is None:
+        return {}
+    return {
+        "tells_levels": True,
+        "level_workspaces": tuple(levels),
+        "levels": tuple(levels.values()),
+    }
+
+
+def read_report(state):
+    """Return the `allotments.Report` in a `messages.GatewayState`.
+
+    Raises `errors.BadRequest` if columns differ in length, or hold what is no number.
+    """
+    spent = read_spending(state)
+    if not state.tells_levels:
+        return allotments.Report(spent or None)
+    check_lengths(state, state.level_workspaces, state.levels)
+    levels = dict(zip(state.level_workspaces, state.levels, strict=True))
+    check_finite(state, levels.values())
+    return allotments.Report(spent, levels)
+
+
+def check_finite(state, amounts):
+    """Raise `errors.BadRequest` if amounts of a state are no numbers."""
+    if not all(map(math.isfinite, amounts)):
         raise errors.BadRequest(
             f"The state of {state.name!r} has an amount that is no number.",
             "Run the same version on every host.",
         )
-    return spent
 
 
 def check_lengths(state, *columns):
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from tornado import httpserver, httputil, ioloop
 
@@ -36,6 +37,8 @@
 
 TICK_MS = 50
 IDLE_SWEEP_INTERVAL_MS = 500
+# How often the standing of workspaces near their limits is logged.
+STANDING_INTERVAL_MS = 1000
 # Backend servers announce themselves at an interval that the users of the system chose.
 # Each does so at least once within this time, which is the default of the setting
 # `control.announce_interval_ms`.
@@ -130,7 +133,12 @@
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
         self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
-        self.allotments = allotments.Allotments(now_ms, self.settings.allotment_slack)
+        self.allotments = allotments.Allotments(
+            now_ms,
+            self.settings.allotment_slack,
+            hub.incarnation,
+            self.settings.allotment_window_s,
+        )
         self.budget = retries.RetryBudget(self.settings)
         self.connections = upstream.ConnectionPool()
         self.subscription = subscription.Subscription(hub, self)
@@ -149,6 +157,7 @@
         self.lease = lease.Lease(self.settings.lease_ms)
         self.unlisted_ms = {}
         self.last_sweep_ms = now_ms
+        self.last_standing_ms = now_ms
         self.http = None
         self.ready_http = None
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
@@ -389,11 +398,9 @@
         """Apply another gateway's running requests and allotment usage."""
         now_ms = clock.now_ms()
         shares = columns.read_load(message)
-        spent = columns.read_spending(message)
+        report = columns.read_report(message)
         self.pool.update_load_shares(message.name, shares, now_ms)
-        self.allotments.record_peer_spending(
-            message.name, message.incarnation, spent, now_ms
-        )
+        self.allotments.record_report(message.name, message.incarnation, report, now_ms)
         self.crashes.merge(message.name, message.crashes)
         self.limits.apply_reports(message.name, message.limits)
         sent_ms = now_ms - self.pauses.waited_ms(now_ms)
@@ -411,7 +418,9 @@
         crashes_since_ms : since when crashes have changed that are included, or None
             for all that are told at times.
         """
-        spent = self.allotments.spent if with_spent else {}
+        report = allotments.Report()
+        if with_spent:
+            report = self.allotments.report(clock.now_ms())
         as_columns = self.gossip.all_read_columns
         return messages.GatewayState(
             self.hub.name,
@@ -422,7 +431,8 @@
             departures=self.departure_reports(),
             reads_columns=True,
             **columns.load_fields(self.pool.own_load_shares(), as_columns),
-            **columns.spending_fields(spent, as_columns),
+            **columns.spending_fields(report.spent or {}, as_columns),
+            **columns.level_fields(report.levels),
         )
 
     def record_departure(self, start, source, heard_ms):
@@ -449,6 +459,23 @@
             for start, departure in self.pool.departures.latest()
         )
 
+    def catch_up(self, now_ms):
+        """Read what other gateways have sent before anything is admitted.
+
+        A process that was held up would otherwise refill its buckets for all that time
+        and serve what has waited, before it knows what the others have spent.
+        """
+        held_ms = now_ms - self.pauses.last_tick_ms
+        if self.pauses.is_pause(held_ms):
+            self.pauses.record_tick(now_ms)
+            self.allotments.begin_catch_up(now_ms)
+            self.gossip.read_waiting()
+            self.gossip.apply_all_pending()
+            self.allotments.end_catch_up(now_ms, held_ms)
+            self.log.info("gateway: The process was held up.", held_ms=held_ms)
+        elif self.allotments.is_learning(now_ms):
+            self.gossip.apply_all_pending()
+
     # Requests.
 
     def serve(self, connection, start_line, headers, body):
@@ -545,6 +572,7 @@
         An error in one part is logged and does not keep the others from running.
         """
         now_ms = clock.now_ms()
+        self.catch_up(now_ms)
         self.pauses.record_tick(now_ms)
         run = self.hub.run_callback
         run(self.dispatch_waiting)
@@ -560,6 +588,23 @@
             run(self.pool.rests.remove_expired, now_ms)
             run(self.pool.departures.remove_expired, now_ms)
             run(self.drop_unlisted_peers, now_ms)
+            if self.lease.is_fresh:
+                run(self.allotments.drop_unlisted, now_ms)
+            run(self.log_standings, now_ms)
+
+    def log_standings(self, now_ms):
+        """Log at a fixed rate what is known of workspaces near their limits."""
+        if now_ms - self.last_standing_ms < STANDING_INTERVAL_MS:
+            return
+        self.last_standing_ms = now_ms
+        for name in self.allotments.pressed(now_ms):
+            standing = self.allotments.standing(name, now_ms)
+            fields = dataclasses.asdict(standing)
+            self.log.info(
+                "gateway: A workspace is near its limit.",
+                workspace=name,
+                **{field: round(each) for field, each in fields.items()},
+            )
 
     def register_gauges(self):
         """Register the gauges of the gateway."""
--- a/brasstrail/roles/gossip.py
+++ b/brasstrail/roles/gossip.py
@@ -269,6 +269,18 @@
             return
         self.send_to(group.targets(), payload)
 
+    def send_all(self):
+        """Send the whole state to all groups at once."""
+        for group in (self.own_region, self.other_regions):
+            group.last_spent_ms -= SPENT_INTERVAL_MS
+            group.last_crashes_ms -= CRASHES_INTERVAL_MS
+            self.send(group)
+
+    def read_waiting(self):
+        """Read the datagrams that have arrived and wait to be read."""
+        if self.transport is not None:
+            self.transport.read_waiting()
+
     def send_message(self, names, message):
         """Send a message to some of the other gateways, in a datagram each."""
         payload = codec.encode_packed(codec.MESSAGE, message)
--- a/brasstrail/roles/places_test.py
+++ b/brasstrail/roles/places_test.py
@@ -13,12 +13,13 @@
 from brasstrail.tools import fuzzing
 
 SLOTS = 4
+BURST = 1e6
 # A plain server takes two requests for each of its slots.
 PLACES = 2 * SLOTS
 DOCUMENT = {
     **crashes_test.DOCUMENT,
     "tenants": [
-        {"name": "w", "api_keys": ["k"], "rate_per_s": 1e-6, "burst": 1e6},
+        {"name": "w", "api_keys": ["k"], "rate_per_s": 1e-6, "burst": BURST},
     ],
 }
 TARGETS = (
@@ -49,6 +50,7 @@
         self.platform = memory.Platform(DOCUMENT, 1)
         self.platform.add_servers("s", 2)
         self.gateway = self.platform.gateways["g0"]
+        self.gateway.allotments.buckets["w"].level = BURST
         self.tasks = []
         self.requests = []
 
--- a/brasstrail/roles/shutdown.py
+++ b/brasstrail/roles/shutdown.py
@@ -5,6 +5,7 @@
 may still be routed to it, and passes on only what can be expected to end in time. What
 waits for a server is refused while its caller can still go elsewhere, and what has no
 answer shortly before the end gets one that is true. Nothing is left without an answer.
+The other gateways are told last what this one has spent.
 """
 
 import asyncio
@@ -97,6 +98,7 @@
         await self.wait_while(
             lambda: gateway.running and clock.now_ms() < self.close_ms
         )
+        gateway.gossip.send_all()
         await gateway.http.close_all_connections()
 
     async def wait_while(self, condition):
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -172,7 +172,8 @@
     to exit. Retries to a service stay below `retry_ratio` of its requests
     plus `retry_slack` in any `retry_window_s` seconds, over all gateways. Counts are
     not exact, so workspaces may be admitted beyond their allotments; the excess
-    stays below `allotment_slack` (in the allotment's unit).
+    stays below `allotment_slack` (in the allotment's unit) in any
+    `allotment_window_s` seconds.
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -185,6 +186,7 @@
     retry_slack: float = 60.0
     retry_window_s: float = 10.0
     allotment_slack: float = 0.0
+    allotment_window_s: float = 8.0
     max_held_bytes: int = 32 * 1024 * 1024
 
     @property
--- a/brasstrail/transport/datagrams.py
+++ b/brasstrail/transport/datagrams.py
@@ -13,6 +13,8 @@
 # Datagrams that are read at once; the rest follows after the interval.
 MAX_BATCH = 256
 MAX_DATAGRAM_BYTES = 65_536
+# Batches that are read at once after a pause.
+MAX_BATCHES = 16
 
 
 class DatagramSocket:
@@ -72,6 +74,17 @@
             if not self.is_closing():
                 self.schedule_read(has_read=count > 0)
 
+    def read_waiting(self):
+        """Read all datagrams that have arrived, up to some batches, at once."""
+        for _ in range(MAX_BATCHES):
+            count = 0
+            for payload, address in self.arrived():
+                count += 1
+                self.receive(payload, address)
+            if count < MAX_BATCH:
+                break
+        self.end_batch()
+
     def arrived(self):
         """Yield up to `MAX_BATCH` datagrams that have arrived, with their sources."""
         for _ in range(MAX_BATCH):
