Hold back a request that crashes a release's servers though the last one answered it

Cause: any complete answer disproved all crashes of the same content, whatever software had given it, and so did a failure, which a server may give without having run the request.

Change: crashes and completions carry the version of the server's software, and a completion speaks for crashes of that version only; one that is not stated may be any. A failure speaks for earlier crashes only. Gateways tell each other the versions.

--- a/brasstrail/coordination/suspects.py
+++ b/brasstrail/coordination/suspects.py
@@ -6,9 +6,11 @@
 while they ran it. After `MAX_CRASHES` the request is refused.
 
 What tells such a request from others that ran on the same servers is that it never
-completes. A complete answer of any server, also a failure, disproves the crashes of all
-runs of that content that were sent before it or within `TRACK_RECORD_MS` after it: a
-content that many callers send has runs on every server that ends. A broken connection
+completes. A complete answer disproves the crashes of all runs of that content that were
+sent before it or within `TRACK_RECORD_MS` after it: a content that many callers send
+has runs on every server that ends. It speaks for servers of the same version only,
+since a new one may end at what the last one answered, and a failure only for earlier
+runs: a server that fails requests may not have run them. A broken connection
 is not yet a server that ended: it counts for `UNCONFIRMED_MS`, and longer only if the
 end of that start is confirmed by the announcements of the server or of its successor.
 
@@ -75,6 +77,7 @@
 MAX_PART_REFERENCES = 32_768
 MAX_LEFT_RUNS = 2048
 MAX_COMPLETIONS = 8192
+MAX_VERSIONS = 16
 # Part of a workspace's crashes that is dropped when the table is full.
 EVICTED_FRACTION = 1 / 8
 # A run that was given up is remembered this long, in case its server turns out to have
@@ -100,7 +103,8 @@
 class Run:
     """A request that was sent to one start of a server.
 
-    `parts` are the `parts.shared_parts` of its prompt.
+    `parts` are the `parts.shared_parts` of its prompt. `version` is that of the
+    server's software, or empty if it is not stated.
     """
 
     attempt_id: str
@@ -110,6 +114,7 @@
     born_ms: int
     sent_ms: int
     parts: tuple[int, ...] = ()
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -145,11 +150,13 @@
     ended_ms : when it broke off, or when its server was found to have ended.
     is_confirmed : whether the server's start is known to have ended.
     is_disproved : whether a run of the same content, sent by anyone, has completed
-        since, or within `TRACK_RECORD_MS` before the run was sent.
+        since, or within `TRACK_RECORD_MS` before the run was sent, at a server of the
+        same version.
     is_disproved_for_workspace : the same for runs of the crash's workspace.
     is_withdrawn : whether the server is known to have lived on.
     completed_after, completed_before : bits of the parts of the run with which other
         requests have completed: after the run was sent, or lately before.
+    version : that of the server's software, or empty if it is not known.
     """
 
     sent_ms: int
@@ -160,11 +167,13 @@
     is_withdrawn: bool = False
     completed_after: int = 0
     completed_before: int = 0
+    version: str = ""
 
     def merge(self, other):
         """Add what another gateway knows of the crash; return whether it is new."""
         duration_ms = other.ended_ms - other.sent_ms
         self.sent_ms = max(self.sent_ms, self.ended_ms - duration_ms)
+        self.version = self.version or other.version
         is_changed = False
         for flag in MERGED_FLAGS:
             known = getattr(self, flag)
@@ -216,8 +225,9 @@
     open_runs : the runs without a known end, by server and start.
     left_runs : when each of them was given up, for those that were, oldest first.
     running_counts : the number of runs that are not given up, by content.
-    completions : when a run last completed, by content and workspace, and by content
-        and None for all workspaces; the latest last.
+    completions : when a run last completed, by content, workspace and version, and by
+        content, None for all workspaces and version; the latest last.
+    versions : the versions in these, the latest last.
     changes : (time, `Crash`) of the changes that this gateway made, oldest first.
     part_changes : the same where only parts have completed; these are shared last.
     ranks : the order in which ends of servers were attributed to contents.
@@ -236,6 +246,7 @@
         self.left_runs = collections.OrderedDict()
         self.running_counts = collections.Counter()
         self.completions = collections.OrderedDict()
+        self.versions = collections.OrderedDict()
         self.changes = collections.deque(maxlen=MAX_CHANGES)
         self.part_changes = collections.deque(maxlen=MAX_CHANGES)
         self.random = random.Random(name)
@@ -404,12 +415,26 @@
         self.discard(run)
         if is_success:
             self.complete_parts(run.parts, run.workspace, now_ms)
-        for key in ((run.content, run.workspace), (run.content, None)):
-            self.completions[key] = now_ms
-            self.completions.move_to_end(key)
-        self.drop_old_completions()
+            for workspace in (run.workspace, None):
+                key = run.content, workspace, run.version
+                self.completions[key] = now_ms
+                self.completions.move_to_end(key)
+            self.record_version(run.version)
+            self.drop_old_completions()
         for crash, evidence in self.by_content.get(run.content, {}).items():
-            self.disprove(crash, evidence, now_ms)
+            if is_success:
+                self.disprove(crash, evidence, now_ms)
+            elif is_same_version(evidence.version, run.version):
+                self.set_disproved(crash, evidence, None, now_ms)
+                if crash.workspace == run.workspace:
+                    self.set_disproved(crash, evidence, crash.workspace, now_ms)
+
+    def record_version(self, version):
+        """Remember a version of which a server has completed a run."""
+        self.versions[version] = None
+        self.versions.move_to_end(version)
+        while len(self.versions) > MAX_VERSIONS:
+            self.versions.popitem(last=False)
 
     def complete_parts(self, parts, workspace, now_ms, completed_ms=None):
         """Record a successful answer to a request with some parts.
@@ -427,7 +452,7 @@
             self.completions.popitem(last=False)
 
     def recent_completions(self):
-        """Return the latest completions as ((content, workspace), completed_ms)."""
+        """Return the latest completions as (key, completed_ms)."""
         latest = itertools.islice(reversed(self.completions.items()), MAX_TOLD)
         return list(latest)
 
@@ -438,8 +463,9 @@
         self.completions[key] = completed_ms
         # It is dropped before those of this gateway.
         self.completions.move_to_end(key, last=False)
+        content, _, version = key
+        self.record_version(version)
         self.drop_old_completions()
-        content, _ = key
         for crash, evidence in self.by_content.get(content, {}).items():
             self.disprove(crash, evidence, now_ms)
 
@@ -451,7 +477,7 @@
         if not self.discard(run):
             return None
         crash = self.crash_of(run)
-        evidence = Evidence(run.sent_ms, now_ms, is_confirmed)
+        evidence = Evidence(run.sent_ms, now_ms, is_confirmed, version=run.version)
         is_new = self.add(crash, evidence, now_ms)
         self.changes.append((now_ms, crash))
         return crash if is_new else None
@@ -556,15 +582,27 @@
         """Set the flags of a crash whose content has completed lately, or since."""
         self.attributed_until_ms = 0
         since_ms = evidence.sent_ms - TRACK_RECORD_MS
-        for flag, workspace in (
-            ("is_disproved", None),
-            ("is_disproved_for_workspace", crash.workspace),
-        ):
-            completed_ms = self.completions.get((crash.content, workspace))
-            is_later = completed_ms is not None and completed_ms >= since_ms
-            if is_later and not getattr(evidence, flag):
-                setattr(evidence, flag, True)
-                self.changes.append((now_ms, crash))
+        for workspace in (None, crash.workspace):
+            completed_ms = self.completed_ms(crash.content, workspace, evidence.version)
+            if completed_ms is not None and completed_ms >= since_ms:
+                self.set_disproved(crash, evidence, workspace, now_ms)
+
+    def completed_ms(self, content, workspace, version):
+        """Return when a content last completed at servers of a version, or None.
+
+        A version that is not known may be any.
+        """
+        versions = (version, "") if version else self.versions
+        times = (self.completions.get((content, workspace, v)) for v in versions)
+        return max((each for each in times if each is not None), default=None)
+
+    def set_disproved(self, crash, evidence, workspace, now_ms):
+        """Set that a crash is disproved, for a workspace, or for all if it is None."""
+        self.attributed_until_ms = 0
+        flag = "is_disproved" if workspace is None else "is_disproved_for_workspace"
+        if not getattr(evidence, flag):
+            setattr(evidence, flag, True)
+            self.changes.append((now_ms, crash))
 
     def remove(self, crash):
         """Remove a crash."""
@@ -712,6 +750,11 @@
         return self.random.sample(items, min(count, len(items)))
 
 
+def is_same_version(one, other):
+    """Return whether two versions may be the same; an empty one is not known."""
+    return one == other or not one or not other
+
+
 def shortest_hold_ms(excess):
     """Return the hold of a request with `excess` crashes beyond the limit."""
     return min(MAX_HOLD_MS, HOLD_MS * 2 ** min(20, excess))
--- a/brasstrail/coordination/suspects_test.py
+++ b/brasstrail/coordination/suspects_test.py
@@ -23,24 +23,37 @@
         self.suspects = suspects.Suspects(name)
         self.starts = itertools.count(1)
 
-    def begin(self, content, now_ms, workspace="w", server="s", born_ms=None):
+    def begin(
+        self, content, now_ms, workspace="w", server="s", born_ms=None, version=""
+    ):
         """Begin a run, on a start of its own unless `born_ms` is given."""
         born_ms = next(self.starts) if born_ms is None else born_ms
-        run = suspects.Run("a", content, workspace, server, born_ms, now_ms)
+        run = suspects.Run(
+            "a", content, workspace, server, born_ms, now_ms, version=version
+        )
         self.suspects.begin(run)
         return run
 
-    def crash(self, content, now_ms, workspace="w", server="s", is_confirmed=True):
+    def crash(
+        self,
+        content,
+        now_ms,
+        workspace="w",
+        server="s",
+        is_confirmed=True,
+        version="",
+    ):
         """Run a request whose server ends."""
-        run = self.begin(content, now_ms, workspace, server)
+        run = self.begin(content, now_ms, workspace, server, version=version)
         self.suspects.break_off(run, now_ms)
         if is_confirmed:
             self.suspects.end_server(run.server, run.born_ms, now_ms)
         return run
 
-    def complete(self, content, now_ms, workspace="w"):
+    def complete(self, content, now_ms, workspace="w", version="", is_success=True):
         """Run a request that completes."""
-        self.suspects.complete(self.begin(content, now_ms, workspace), now_ms)
+        run = self.begin(content, now_ms, workspace, version=version)
+        self.suspects.complete(run, now_ms, is_success)
 
     def is_held(self, content, now_ms, workspace="w"):
         """Return whether a request is refused."""
@@ -93,6 +106,41 @@
         self.crash_often(now_ms=20, count=1)
         self.assertFalse(self.gateway.is_held("c", 30))
 
+    def test_completion_speaks_for_servers_of_the_same_version(self):
+        """Guards against a release whose servers end at what the former answered."""
+        for told in (False, True):
+            with self.subTest(told=told):
+                gateway = Gateway()
+                other = Gateway("h") if told else gateway
+                gateway.complete("c", 0, version="v1")
+                for number in range(suspects.MAX_CRASHES):
+                    other.crash("c", 10 + number, version="v2")
+                if told:
+                    gateway.receive(other, 20)
+                self.assertTrue(gateway.is_held("c", 20))
+                gateway.complete("c", 30, version="v1")
+                self.assertTrue(gateway.is_held("c", 40))
+                gateway.complete("c", 50, version="v2")
+                self.assertFalse(gateway.is_held("c", 60))
+
+    def test_version_that_is_not_known_may_be_any(self):
+        for completed, crashed in (("", "v2"), ("v1", ""), ("", "")):
+            with self.subTest(completed=completed, crashed=crashed):
+                gateway = Gateway()
+                gateway.complete("c", 0, version=completed)
+                for number in range(suspects.MAX_CRASHES):
+                    gateway.crash("c", 10 + number, version=crashed)
+                self.assertFalse(gateway.is_held("c", 20))
+
+    def test_failure_speaks_for_earlier_crashes_only(self):
+        """Guards against a server that fails requests and seems to have run them."""
+        self.crash_often(count=2)
+        self.gateway.complete("c", 10, is_success=False)
+        self.crash_often(count=2, now_ms=20)
+        self.assertFalse(self.gateway.is_held("c", 30))
+        self.crash_often(count=1, now_ms=40)
+        self.assertTrue(self.gateway.is_held("c", 50))
+
     def test_track_record_ends(self):
         """A request that used to complete is held back once that is long ago."""
         self.gateway.complete("c", 0)
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -619,7 +619,7 @@
     `content` is the digest of the request, and `born_ms` with `ordinal` identify the
     server's start. `age_ms` is how long ago the run ended, `duration_ms` how long it
     had lasted. `parts` are the `parts.shared_parts` of its prompt. The flags are those
-    of `suspects.Evidence`.
+    of `suspects.Evidence`, and `version` is that of the server's software.
     """
 
     content: str
@@ -636,6 +636,7 @@
     is_withdrawn: bool = False
     completed_after: int = 0
     completed_before: int = 0
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -674,13 +675,15 @@
 class Completion:
     """A server gave its whole answer to a content, `age_ms` ago.
 
-    It is the last one of a workspace, or of all workspaces if `is_of_all` is set.
+    It is the last one of a workspace, or of all workspaces if `is_of_all` is set, at
+    servers whose software has the `version`.
     """
 
     content: str
     workspace: str
     is_of_all: bool
     age_ms: int
+    version: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -649,6 +649,7 @@
   isWithdrawn @11 :Bool;
   completedAfter @12 :Int64;
   completedBefore @13 :Int64;
+  version @14 :Text;
 }
 
 struct ServerLimit {
@@ -680,6 +681,7 @@
   workspace @1 :Text;
   isOfAll @2 :Bool;
   ageMs @3 :Int64;
+  version @4 :Text;
 }
 
 struct PartCompletion {
--- a/brasstrail/roles/crashes.py
+++ b/brasstrail/roles/crashes.py
@@ -130,6 +130,7 @@
             self.gateway.pool.born_ms(server),
             clock.now_ms(),
             request.parts,
+            self.gateway.pool.version(server),
         )
         self.suspects.begin(run)
         return run
@@ -237,9 +238,13 @@
         reports = [make_report(*each, now_ms) for each in records]
         completions = [
             messages.Completion(
-                content, workspace or "", workspace is None, now_ms - completed_ms
+                content,
+                workspace or "",
+                workspace is None,
+                now_ms - completed_ms,
+                version,
             )
-            for (content, workspace), completed_ms in (
+            for (content, workspace, version), completed_ms in (
                 self.suspects.recent_completions()
             )
         ]
@@ -263,7 +268,8 @@
         """Add what another gateway has told this one at its start."""
         now_ms = clock.now_ms()
         for each in history.completions:
-            key = each.content, None if each.is_of_all else each.workspace
+            workspace = None if each.is_of_all else each.workspace
+            key = each.content, workspace, each.version
             self.suspects.add_completion(key, now_ms - each.age_ms, now_ms)
         for each in history.parts:
             self.suspects.complete_parts(
@@ -293,6 +299,7 @@
                 each.is_withdrawn,
                 each.completed_after,
                 each.completed_before,
+                each.version,
             )
             if self.suspects.add(crash, evidence, now_ms):
                 self.log_crash(crash, f"reported_by_{name}", each.age_ms)
@@ -389,4 +396,5 @@
         evidence.is_withdrawn,
         evidence.completed_after,
         evidence.completed_before,
+        evidence.version,
     )
