Show that a planned stop of a control host cuts an order of the operator

What operators see: an order that waits for its commit, up to 1.5 s without a quorum, ends with its connection and no answer when its control host is told to stop, though the grace period has hardly begun.

Cause: Daemon.shut_down drains the gateway, the entry and the agent, and closes the control role at once.

--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -388,6 +388,22 @@
         await asyncio.sleep(1.0)
         self.assertEqual(self.gateways[0].gateway.lease.renewed_ms, renewed)
 
+    async def test_operator_gets_an_answer_from_a_control_host_that_stops(self):
+        """Guards against a stop that cuts a call that waits for its commit."""
+        for control in self.controls[1:]:
+            control.stack.close()
+        body = orjson.dumps(DOCUMENT)
+        call = asyncio.ensure_future(
+            self.call(self.controls[0], "PUT", "/v1/configuration", body)
+        )
+        await asyncio.sleep(0.3)
+        self.assertFalse(call.done())
+        await self.controls[0].shut_down()
+        # The process ends now; its connections close.
+        _, waiting = await asyncio.wait([call], timeout=0.1)
+        self.assertEqual(len(waiting), 0)
+        self.assertEqual((await call).code, 503)
+
     async def test_late_commit_result_is_ignored(self):
         """Guards against a commit result that arrives after the caller timed out.
 
