Refuse the less urgent requests of a workspace at its limit first

Change: while little of an allotment is left, requests of more urgent routes may overdraw a gateway's share of the rate by about one request, which less urgent ones make up for (coordination/urgency.py). A workspace with one tier is limited as before.

--- a/brasstrail/coordination/allotments.py
+++ b/brasstrail/coordination/allotments.py
@@ -12,6 +12,9 @@
 what it has admitted lately. Otherwise all of them would admit at once what is left only
 once, and then wait until that is made up for.
 
+While little is left, requests of a workspace's more urgent routes may overdraw the
+gateway's share by about one request, which its less urgent ones make up for.
+
 A gateway that has just started, or that was held up, knows too little: its bucket
 starts empty, and takes the level over that another one reports. Until then, a gateway
 that has just started spends little more than its even share of the rate, since it may
@@ -27,6 +30,7 @@
 import collections
 import dataclasses
 
+from brasstrail.coordination import urgency
 from brasstrail.core import catalog
 
 # A gateway counts as silent after this time without a report; gateways send at least
@@ -50,6 +54,10 @@
 # A gateway keeps to its share of the rate while less is left than the rate gives in
 # this time: several times as long as a report takes.
 PACED_S = 0.75
+# The most urgent requests may overdraw a gateway's share of the rate by what it gains
+# in this time, or by their own cost if that is more: one gateway of many gains less
+# than that cost between two requests.
+OVERDRAFT_S = 0.5
 # A gateway without requests lately has this fraction of an even share.
 MIN_SHARE_FRACTION = 0.25
 # After a start of all hosts, each gateway hears of all others within this time.
@@ -177,6 +185,7 @@
         gateway started, or None once that has been done.
     knows_peers : whether the control hosts have reported the other gateways.
     workspace_allotments : the `catalog.Allotment` of each workspace.
+    tiers : `urgency.TierActivity` of the workspaces.
     """
 
     def __init__(self, now_ms, slack=0.0, incarnation=0, window_s=8.0):
@@ -201,6 +210,7 @@
         self.knows_peers = False
         self.has_document = False
         self.workspace_allotments = {}
+        self.tiers = urgency.TierActivity()
 
     def configure(self, workspaces, now_ms):
         """Set the allotments from the workspaces of a catalog.
@@ -225,6 +235,7 @@
                 bucket.level = min(bucket.level, capacity)
         self.has_document = True
         self.workspace_allotments = workspace_allotments
+        self.tiers.keep(workspace_allotments)
 
     def set_peers(self, names, now_ms):
         """Set the names of the other gateways, as control hosts list them.
@@ -406,18 +417,21 @@
 
     # Requests.
 
-    def acquire(self, workspace, cost, now_ms):
+    def acquire(self, workspace, cost, now_ms, tier=0):
         """Deduct a cost from a workspace's bucket; return 0, or the seconds to wait.
 
-        A cost above the bucket's capacity is admitted when the bucket is full. A
+        `tier` is that of the request's route, the most urgent first. A cost above the
+        bucket's capacity is admitted when the bucket is full. A
         workspace without a rate is not limited.
         """
         allotment = self.workspace_allotments.get(workspace, catalog.Allotment())
         if not allotment.rate:
             return 0.0
         rate = self.usable_rate(allotment)
+        self.tiers.record(workspace, tier, now_ms)
+        share_of_overdraft = self.tiers.urgency(workspace, tier, now_ms)
         excess = max(
-            self.excess_cost(workspace, allotment, cost, now_ms),
+            self.excess_cost(workspace, allotment, cost, now_ms, share_of_overdraft),
             self.excess_on_trial(workspace, allotment, now_ms),
         )
         if excess > 0:
@@ -447,8 +461,11 @@
             capacity = self.bucket_capacity(allotment)
             bucket.level = min(capacity, bucket.level + capacity)
 
-    def excess_cost(self, workspace, allotment, cost, now_ms):
-        """Return by how much a cost exceeds what may be spent now; 0 if it does not."""
+    def excess_cost(self, workspace, allotment, cost, now_ms, share_of_overdraft):
+        """Return by how much a cost exceeds what may be spent now; 0 if it does not.
+
+        `share_of_overdraft` is the fraction of the overdraft that the request may use.
+        """
         left = self.left(workspace, now_ms)
         needed = min(cost, self.bucket_capacity(allotment))
         bucket = self.buckets[workspace]
@@ -464,9 +481,13 @@
         bucket.paced += elapsed_s * share * self.usable_rate(allotment)
         bucket.paced = min(bucket.paced, cost)
         bucket.paced_ms = max(bucket.paced_ms, now_ms)
-        if bucket.paced >= 0:
+        gain_in_overdraft = OVERDRAFT_S * share * self.usable_rate(allotment)
+        overdraft = share_of_overdraft * max(cost, gain_in_overdraft)
+        if bucket.paced + overdraft >= 0:
             return 0.0
-        return -bucket.paced / max(share, MIN_SHARE_FRACTION / (len(self.peers) + 1))
+        return -(bucket.paced + overdraft) / max(
+            share, MIN_SHARE_FRACTION / (len(self.peers) + 1)
+        )
 
     def own_share(self, bucket, allotment):
         """Return this gateway's share of a rate, by what it has spent lately."""
--- a/brasstrail/coordination/allotments_test.py
+++ b/brasstrail/coordination/allotments_test.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from brasstrail.coordination import allotments
+from brasstrail.coordination import allotments, urgency
 from brasstrail.core import catalog
 
 RATE = 1000.0
@@ -53,6 +53,36 @@
         return admitted
 
 
+class UrgentRequestsTest(unittest.TestCase):
+    """Load: one workspace asks for half more than its limit, on routes of two tiers."""
+
+    def test_less_urgent_routes_are_refused_first(self):
+        """Guards against refusals by order of arrival, whatever a request is for."""
+        fleet = Fleet(8)
+        generator = random.Random(2)
+        asked, admitted = {1: 0.0, 3: 0.0}, {1: 0.0, 3: 0.0}
+        for now_ms in range(0, 12_000, STEP_MS):
+            for tier, per_step in ((1, 0.5 * RATE), (3, RATE)):
+                cost = generator.expovariate(1000 / (per_step * STEP_MS))
+                gateway = fleet.gateways[generator.choice(fleet.names)]
+                is_refused = gateway.acquire("w", cost, now_ms, tier)
+                if now_ms >= 4000:
+                    asked[tier] += cost
+                    admitted[tier] += 0.0 if is_refused else cost
+            fleet.exchange_spending(now_ms)
+        self.assertGreater(admitted[1] / asked[1], 0.9)
+        self.assertLess(admitted[3] / asked[3], 0.7)
+        self.assertLess(sum(admitted.values()), 8 * RATE * MAX_OVERRUN_FACTOR + BURST)
+
+    def test_workspace_with_one_tier_is_limited_as_before(self):
+        """Guards against an overdraft where there is nothing less urgent."""
+        tiers = urgency.TierActivity()
+        tiers.record("w", 2, 0)
+        self.assertEqual(tiers.urgency("w", 2, 0), 0.0)
+        tiers.record("w", 1, 0)
+        self.assertEqual(tiers.urgency("w", 1, urgency.ACTIVITY_WINDOW_MS + 1), 0.0)
+
+
 class SharedAllotmentTest(unittest.TestCase):
     """The sum keeps to rate and burst in any network partition."""
 
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -51,7 +51,7 @@
         tier = access.tier
     service = catalog.choose_service(route, random.random())
     gateway.budget.record_request(service, arrived_ms)
-    cost = take_allotment(gateway, access, call)
+    cost = take_allotment(gateway, access, call, route.tier)
     return AdmittedRequest(
         route,
         (tier, route.tier),
@@ -92,17 +92,18 @@
     return access
 
 
-def take_allotment(gateway, access, call):
+def take_allotment(gateway, access, call, tier):
     """Charge a request's cost to its workspace; return the cost.
 
-    It is charged now, however long the request has waited for the lease.
+    `tier` is that of the route: less urgent requests are refused first. The cost is
+    charged now, however long the request has waited for the lease.
     """
     now_ms = clock.now_ms()
     if access is None:
         return 0.0
     cost = allotment_cost(call, access.allotment)
     gateway.catch_up(now_ms)
-    wait_s = gateway.allotments.acquire(access.workspace, cost, now_ms)
+    wait_s = gateway.allotments.acquire(access.workspace, cost, now_ms, tier)
     if wait_s:
         log_refusal(gateway, access.workspace, call, cost, wait_s)
         raise refusals.Refused(429, "allotment", max(MIN_RETRY_S, wait_s))
