Read, share and use the load reports of servers

Cause: hosts of engines differ by a factor of 2.8 and are 2.5 times slower at moments. Some servers tell that in a fourth figure of their load report; three figures were read and none was used.

Change: a report with three or four figures is read (bounded; a malformed one is ignored) from every answer of the server that a request was sent to, refusals included. `coordination/loadreports.py` keeps a fast and a slow figure for each start of a server. With four figures, expected delays, the prefill limit and the time per token follow the host factor; a server with a reported queue is passed over while another has a free slot; one is drawn of the servers whose scores are nearly equal; a report that first answers contradict loses its weight. Without a fourth figure all choices are as before. The number of places at servers is unchanged. The emulator has the two deployments of LOAD.md, slow moments and reports; the fake servers tell a load and are slow by turns.

Tests: those of pool, platform, loadreports, columns, gossip and limits pass, and `gateway_test.AccessTest`.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -15,8 +15,9 @@
 import dataclasses
 import functools
 import itertools
+import random
 
-from brasstrail.coordination import departures, limits, rests, shares
+from brasstrail.coordination import departures, limits, loadreports, rests, shares
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -153,6 +154,7 @@
     heard_ms : when this gateway last received anything from the server.
     limit : `limits.Limit`, or None if the server has named none.
     permits : the permits to send requests to a limited server, the oldest first.
+    host : what the server's answers have reported.
     """
 
     announcement: servers.Announcement
@@ -169,12 +171,18 @@
     heard_ms: int = 0
     limit: limits.Limit | None = None
     permits: collections.deque = dataclasses.field(default_factory=collections.deque)
+    host: loadreports.HostLoad = dataclasses.field(default_factory=loadreports.HostLoad)
 
     @functools.cached_property
     def start(self):
         """The identity of the server and when it started, which never change."""
         return self.announcement.identity, self.announcement.born_ms
 
+    @property
+    def total_running(self):
+        """How many requests all gateways run on the server."""
+        return len(self.running) + self.others.running
+
     @property
     def is_limited(self):
         """Whether the server names a limit."""
@@ -194,7 +202,8 @@
     answer under the present load. `running` counts this gateway's requests on the
     server, `others` those of the other gateways, and `candidates` the servers that had
     capacity. `software` is that of the work. `permit` is the one that is used for a
-    limited server, or None.
+    limited server, or None. `host_factor` is what the server tells of its host, and
+    `host_factor_age_ms` how old the last report is; None if it tells none.
     """
 
     identity: str
@@ -205,6 +214,8 @@
     candidates: int
     software: str | None = None
     permit: object = None
+    host_factor: float | None = None
+    host_factor_age_ms: float | None = None
 
 
 class Openings:
@@ -289,6 +300,7 @@
     wanted : the servers that the last work would have gone to.
     rests : `rests.Rests`, the servers that want no requests from this gateway.
     departures : `departures.Departures`, the servers that leave.
+    rng : `random.Random`, which draws among servers that are equally good.
     """
 
     def __init__(self, node, regions):
@@ -308,6 +320,7 @@
         self.wanted = []
         self.rests = rests.Rests()
         self.departures = departures.Departures()
+        self.rng = random.Random()
 
     # Server state.
 
@@ -412,6 +425,19 @@
             server.running[work.identity] = work
             server.awaiting_first_answer[work.identity] = work
 
+    def record_report(self, start, report, reported_ms, is_own=True):
+        """Record the `servers.LoadReport` of one start of a server.
+
+        `is_own` is whether it came in an answer to this gateway.
+        """
+        server = self.servers.get(start[0])
+        if server is not None and server.start == start:
+            server.host.record(report, reported_ms, server.total_running, is_own)
+
+    def own_reports(self, now_ms):
+        """Return the `loadreports.SharedReport`s to send to other gateways."""
+        return loadreports.reports_to_share(self.servers.values(), now_ms)
+
     def record_first_answer(self, identity, work, elapsed_ms, expected_ms):
         """Record that a server has begun to answer, and update its slowdown.
 
@@ -423,12 +449,14 @@
         server.awaiting_first_answer.pop(work.identity, None)
         ratio = min(20.0, max(0.2, elapsed_ms / max(1.0, expected_ms)))
         server.slowdown += SPEED_SMOOTHING_FACTOR * (ratio - server.slowdown)
+        server.host.record_first_answer(elapsed_ms, expected_ms)
 
     def record_token_time(self, identity, token_ms):
         """Record how long each token of an answer took at a server."""
         server = self.servers.get(identity)
         if server is not None:
             server.token_ms += SPEED_SMOOTHING_FACTOR * (token_ms - server.token_ms)
+            server.host.record_token_time(token_ms)
 
     def remove_running(self, identity, work):
         """Record that a request has left a server."""
@@ -470,8 +498,7 @@
             that is reserved for higher ranks.
         """
         openings = openings or self.find_openings(now_ms)
-        best = None
-        candidates = 0
+        candidates = []
         without_permit = []
         self.wanted = []
         if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
@@ -483,29 +510,31 @@
             if server.is_limited and not server.has_permit(now_ms):
                 without_permit.append((score, identity))
                 continue
-            candidates += 1
-            if best is None or score < best[0]:
-                best = (score, identity, server)
+            candidates.append(loadreports.Candidate(score, identity, server))
+        best = loadreports.select(candidates, now_ms, self.rng)
         self.wanted = [
             identity
             for score, identity in without_permit
-            if best is None or score < best[0]
+            if best is None or score < best.score_ms
         ]
         self.add_wants(self.wanted, work.rank)
         if best is None:
             return None
-        score, identity, server = best
+        server = best.server
         own_running = len(server.running)
         first_answer_ms = self.expected_first_answer_ms(server, work)
+        host_factor = server.host.factor(now_ms)
         return Choice(
-            identity,
-            score,
+            best.identity,
+            best.score_ms,
             first_answer_ms,
             own_running,
             server.others.running,
-            candidates,
+            len(candidates),
             work.software,
             server.permits[0] if server.is_limited else None,
+            host_factor,
+            None if host_factor is None else server.host.age_ms(now_ms),
         )
 
     def find_openings(self, now_ms):
@@ -617,7 +646,7 @@
 
     def total_running(self, server):
         """Return how many requests all gateways run on a server."""
-        return len(server.running) + server.others.running
+        return server.total_running
 
     def find_capacity(self, announcement):
         """Return how many requests may be at a server at the same time."""
@@ -636,7 +665,8 @@
         if self.rests.known and self.rests.is_tried(server.start, now_ms):
             return False
         backlog_ms = self.pending_prefill_tokens(server) / DEFAULT_PREFILL_TOKENS_PER_MS
-        return backlog_ms * server.slowdown <= MAX_PREFILL_BACKLOG_MS
+        slowdown = server.host.slowdown(server.slowdown, now_ms)
+        return backlog_ms * slowdown <= MAX_PREFILL_BACKLOG_MS
 
     def pending_prefill_tokens(self, server):
         """Return the prompt tokens that a server has yet to prefill."""
@@ -650,10 +680,12 @@
     def score(self, server, work, now_ms):
         """Return the expected delay of a first answer plus the network cost, in ms.
 
-        The delay is scaled by the measured slowdown and by a factor of 1 to 5 for the
-        failure rate; a silent server is penalised like one in another region.
+        The delay is scaled by the host factor that the server tells, or else by the
+        measured slowdown, and by a factor of 1 to 5 for the failure rate; a silent
+        server is penalised like one in another region.
         """
-        delay_ms = self.expected_first_answer_ms(server, work) * server.slowdown
+        slowdown = server.host.slowdown(server.slowdown, now_ms)
+        delay_ms = self.expected_first_answer_ms(server, work) * slowdown
         delay_ms += self.deadline_risk_ms(server, work, now_ms + delay_ms)
         if server.silent:
             delay_ms += OTHER_REGION_COST_MS
@@ -667,7 +699,8 @@
         likelier it misses the deadline. Long answers therefore go to fast servers, and
         a server that would miss the deadline ranks behind all others.
         """
-        decode_ms = work.output_tokens * server.token_ms
+        token_ms = server.host.token_ms(server.token_ms, decode_start_ms)
+        decode_ms = work.output_tokens * token_ms
         remaining_ms = max(1.0, work.caller_deadline_ms - decode_start_ms)
         if decode_ms > remaining_ms:
             return MISSED_DEADLINE_PENALTY_MS
--- a/brasstrail/core/servers.py
+++ b/brasstrail/core/servers.py
@@ -85,8 +85,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class LoadReport:
-    """The load of a backend server, as reported in an answer."""
+    """The load of a backend server, as reported in an answer.
+
+    `host_factor` is how long work takes on the server's host at this moment, relative
+    to the usual time: 1.0 is as usual, 2.0 takes twice as long. It is None if the
+    server does not tell it.
+    """
 
     running: int
     waiting: int
     slots: int
+    host_factor: float | None = None
--- a/brasstrail/emulator/engine.py
+++ b/brasstrail/emulator/engine.py
@@ -22,7 +22,7 @@
     prefill_tokens_per_ms : prefill speed.
     prefill_chunk_tokens : the largest number of prompt tokens prefilled in a step.
     request_overhead_ms : fixed time added to the prefill of each request.
-    slowdown : factor that multiplies the time of each step.
+    slowdown : factor that multiplies the time of each step, permanently.
     """
 
     slots: int = 5
@@ -59,13 +59,23 @@
     Parameters
     ----------
     speed : `EngineSpeed`.
+
+    Attributes
+    ----------
+    momentary_slowdown : a further factor, which is 1 except in slow moments.
     """
 
     def __init__(self, speed):
         self.speed = speed
+        self.momentary_slowdown = 1.0
         self.running = []
         self.waiting = collections.deque()
 
+    @property
+    def host_factor(self):
+        """The factor that multiplies the time of a step now."""
+        return self.speed.slowdown * self.momentary_slowdown
+
     @property
     def is_idle(self):
         """Whether no request waits or runs."""
@@ -107,7 +117,7 @@
         speed = self.speed
         step_ms = speed.step_ms + speed.step_ms_per_request * len(generated)
         step_ms += prefilled_tokens / speed.prefill_tokens_per_ms
-        return step_ms * speed.slowdown, generated
+        return step_ms * self.host_factor, generated
 
     def prefill_chunk(self):
         """Prefill one chunk, oldest request first; return its number of tokens."""
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -19,11 +19,13 @@
 from brasstrail.emulator import engine, load
 from brasstrail.settings import settings
 
-GATEWAY_COUNT = 8
 DATA_CENTRES = ("east", "far", "west")
 REGIONS = {"east": "one", "west": "one", "far": "two"}
-# `engine.EngineSpeed.slowdown` of each engine.
-ENGINE_SLOWDOWNS = (0.6, 1.7, 1.7, 0.6, 1.7)
+# A slow moment of an engine: by how much its steps take longer, for how long, and the
+# mean time between two of them. The last is assumed; the others are those of LOAD.md.
+SLOW_MOMENT_FACTOR = 2.5
+SLOW_MOMENT_MS = (1000.0, 2000.0)
+SLOW_MOMENT_INTERVAL_MS = 15_000.0
 # Time from a change of a gateway's load shares until they are sent; further changes
 # in this time go into the same update.
 LOAD_SHARE_DELAY_MS = 20.0
@@ -34,6 +36,38 @@
 SERVICE = "llm"
 
 
+@dataclasses.dataclass(frozen=True)
+class Setup:
+    """The gateways and engines of a simulation.
+
+    `slowdowns` has the `engine.EngineSpeed.slowdown` of each engine. `has_slow_moments`
+    is whether each engine is slow for a second or two at times, and `reports_load`
+    whether answers tell the load and the host factor of their engine.
+    """
+
+    gateway_count: int = 8
+    slowdowns: tuple[float, ...] = (0.6, 1.7, 1.7, 0.6, 1.7)
+    speed: engine.EngineSpeed = engine.EngineSpeed()
+    has_slow_moments: bool = False
+    reports_load: bool = False
+
+
+# The engines of the two deployments in docs/design/LOAD.md. They have fewer gateways
+# than there, as the time of a run grows with the square of that number.
+SETUP_K = Setup(
+    slowdowns=(0.6, 1.7, 1.7) * 6 + (0.6, 1.7),
+    speed=engine.EngineSpeed(7, 6.12, prefill_tokens_per_ms=32.4),
+    has_slow_moments=True,
+    reports_load=True,
+)
+SETUP_T = Setup(
+    slowdowns=(0.6, 1.7, 1.7) * 7 + (0.6,),
+    speed=engine.EngineSpeed(6, 5.47, prefill_tokens_per_ms=38.7),
+    has_slow_moments=True,
+    reports_load=True,
+)
+
+
 @dataclasses.dataclass
 class RequestResult:
     """Times and outcome of one request.
@@ -99,9 +133,11 @@
     rng : a `random.Random`, the source of all random draws.
     kinds, phases : the load.
     make_pool : returns the pool of a gateway, from its `settings.Node` and the regions.
+    setup : `Setup`.
     """
 
-    def __init__(self, rng, kinds, phases, make_pool):
+    def __init__(self, rng, kinds, phases, make_pool, setup=Setup()):
+        self.setup = setup
         self.now_ms = 0.0
         self.event_numbers = itertools.count()
         self.events = []
@@ -113,27 +149,31 @@
         self.gateways = []
         self.pending_load_share_sends = set()
         self.kinds = kinds
-        for number in range(GATEWAY_COUNT):
+        for number in range(setup.gateway_count):
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             node = settings.Node(
                 f"g{number}", ("gateway",), REGIONS[data_centre], data_centre
             )
             gateway = make_pool(node, REGIONS)
-            gateway.gateway_count = GATEWAY_COUNT
+            gateway.gateway_count = setup.gateway_count
+            gateway.rng = random.Random(number)
             self.gateways.append(gateway)
         self.make_engines()
-        for arrival in load.make_arrivals(rng, kinds, phases, GATEWAY_COUNT):
+        for arrival in load.make_arrivals(rng, kinds, phases, setup.gateway_count):
             self.results[arrival.identity] = RequestResult(arrival)
             self.schedule(arrival.at_ms, self.handle_arrival, arrival)
         self.end_ms = sum(phase.duration_ms for phase in phases) + 15_000
         self.schedule(TICK_INTERVAL_MS, self.tick)
+        if setup.has_slow_moments:
+            for identity in self.engines:
+                self.schedule_slow_moments(rng, identity)
 
     def make_engines(self):
         """Create the engines and announce them to all gateways."""
-        for number, slowdown in enumerate(ENGINE_SLOWDOWNS):
+        for number, slowdown in enumerate(self.setup.slowdowns):
             identity = f"s{number}"
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            speed = engine.EngineSpeed(slowdown=slowdown)
+            speed = dataclasses.replace(self.setup.speed, slowdown=slowdown)
             self.engines[identity] = engine.Engine(speed)
             self.engine_data_centres[identity] = data_centre
             announcement = servers.Announcement(
@@ -151,6 +191,19 @@
                 gateway.configure((service,))
                 gateway.put_server(announcement, False)
 
+    def schedule_slow_moments(self, rng, identity):
+        """Schedule all slow moments of an engine."""
+        begin_ms = rng.expovariate(1 / SLOW_MOMENT_INTERVAL_MS)
+        while begin_ms < self.end_ms:
+            end_ms = begin_ms + rng.uniform(*SLOW_MOMENT_MS)
+            self.schedule(begin_ms, self.set_slowdown, identity, SLOW_MOMENT_FACTOR)
+            self.schedule(end_ms, self.set_slowdown, identity, 1.0)
+            begin_ms = end_ms + rng.expovariate(1 / SLOW_MOMENT_INTERVAL_MS)
+
+    def set_slowdown(self, identity, factor):
+        """Begin or end a slow moment of an engine."""
+        self.engines[identity].momentary_slowdown = factor
+
     def schedule(self, when_ms, action, *arguments):
         """Schedule a call of `action` at a point in virtual time."""
         item = (when_ms, next(self.event_numbers), action, arguments)
@@ -250,6 +303,7 @@
         """
         self.pending_load_share_sends.discard(number)
         shares = self.gateways[number].own_load_shares()
+        reports = self.gateways[number].own_reports(self.now_ms)
         own_region = self.gateways[number].node.region
         for other, gateway in enumerate(self.gateways):
             if other != number:
@@ -260,16 +314,22 @@
                     other,
                     number,
                     shares,
+                    reports,
                 )
 
-    def receive_load_shares(self, number, sender, shares):
-        """Apply the load shares of another gateway, then dispatch."""
-        self.gateways[number].update_load_shares(f"g{sender}", shares, int(self.now_ms))
+    def receive_load_shares(self, number, sender, shares, reports):
+        """Apply the load shares and reports of another gateway, then dispatch."""
+        gateway = self.gateways[number]
+        gateway.update_load_shares(f"g{sender}", shares, int(self.now_ms))
+        for each in reports:
+            gateway.record_report(
+                each.start, each.report, self.now_ms - each.age_ms, is_own=False
+            )
         self.dispatch_requests(number)
 
     def tick(self):
         """Dispatch at every gateway; send all load shares every 20 ticks."""
-        for number in range(GATEWAY_COUNT):
+        for number in range(self.setup.gateway_count):
             self.dispatch_requests(number)
             if int(self.now_ms / TICK_INTERVAL_MS) % 20 == 0:
                 self.send_load_shares(number)
@@ -305,14 +365,29 @@
         ends_event = token.number % arrival.kind.stride == 0 or token.is_last
         if ends_event:
             received_ms = when_ms + self.network_delay_ms(arrival.gateway, identity)
-            self.schedule(received_ms, self.handle_event, identity, token)
+            report = self.report(identity)
+            self.schedule(received_ms, self.handle_event, identity, token, report)
+
+    def report(self, identity):
+        """Return the `servers.LoadReport` of an engine, or None if none are told."""
+        if not self.setup.reports_load:
+            return None
+        emulated_engine = self.engines[identity]
+        return servers.LoadReport(
+            len(emulated_engine.running),
+            len(emulated_engine.waiting),
+            emulated_engine.speed.slots,
+            emulated_engine.host_factor,
+        )
 
-    def handle_event(self, identity, token):
+    def handle_event(self, identity, token, report):
         """Record an answer's event at the gateway and update its pool."""
         result = self.results[token.identity]
         arrival = result.arrival
         gateway = self.gateways[arrival.gateway]
         work = self.make_work(arrival)
+        if result.first_event_ms is None and report is not None:
+            gateway.record_report((identity, 1), report, self.now_ms)
         if result.first_event_ms is None:
             result.first_event_ms = self.now_ms
             elapsed_ms = self.now_ms - result.dispatched_ms
@@ -381,8 +456,14 @@
         return sum(fractions[:2]) / len(fractions[:2])
 
 
-def simulate(seed, kinds=load.KINDS, phases=load.PHASES, make_pool=pool.Pool):
+def simulate(
+    seed,
+    kinds=load.KINDS,
+    phases=load.PHASES,
+    make_pool=pool.Pool,
+    setup=Setup(),
+):
     """Run a simulation and return its `Outcome`."""
-    simulation = Simulation(random.Random(seed), kinds, phases, make_pool)
+    simulation = Simulation(random.Random(seed), kinds, phases, make_pool, setup)
     simulation.run()
     return simulation.outcome()
--- a/brasstrail/emulator/load.py
+++ b/brasstrail/emulator/load.py
@@ -106,6 +106,26 @@
     Kind("check", 2, 10.6, 1860, 0.9, 24, 0.9, 1500, 4000, 1.1, 0.11, 400),
     Kind("narrative", 3, 5.5, 600, 0.8, 280, 0.9, 2000, 15000, 0.54, 0.054, 400),
 )
+# The classes of the two deployments in docs/design/LOAD.md. The
+# sigmas are those of `KINDS`; pauses between events are not limited there.
+KINDS_K = (
+    Kind("one", 1, 23.7, 2950, 0.8, 52, 0.9, 1035, 8300, 8.7, 4.2, 10_000),
+    Kind("two", 2, 54.5, 1860, 0.9, 24, 0.9, 1519, 4100, 1.1, 0.57, 10_000),
+    Kind("three", 3, 35.2, 603, 0.8, 268, 0.9, 2015, 15_100, 0.29, 0.14, 10_000),
+)
+KINDS_T = (
+    Kind("one", 1, 43.2, 2950, 0.8, 52, 0.9, 1050, 6300, 6.5, 1.9, 10_000),
+    Kind("two", 2, 55.0, 1860, 0.9, 24, 0.9, 827, 4100, 2.0, 0.59, 10_000),
+    Kind("three", 3, 44.7, 603, 0.8, 280, 0.9, 821, 15_400, 0.44, 0.13, 10_000),
+)
+# The usual rates, with a spike of all classes and a higher one.
+SPIKES = (
+    Phase(5000, 1.0),
+    Phase(4000, 1.6),
+    Phase(4000, 1.0),
+    Phase(2500, 2.5),
+    Phase(5000, 1.0),
+)
 # A constant load of 1.3 times the usual rates, with two bursts.
 PHASES = (
     Phase(4000, 1.3),
--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -62,6 +62,11 @@
 ENDLESS_FRACTION = 0.2
 ENDLESS_PAUSES_S = (0.0, 0.0, 0.3)
 RESET_FRACTION = 0.5
+# A server with the file `.host` is this many times slower, by turns, for this long in
+# each period. The offset in the period follows from the port.
+SLOW_FACTOR = 2.5
+SLOW_S = 1.5
+SLOW_PERIOD_S = 6.0
 # The fraction of requests that a server turns away while it asks for rest.
 REST_FRACTION = 0.5
 
@@ -92,6 +97,8 @@
         self.leaving_path = pathlib.Path(options["journal"]).with_suffix(".leaving")
         self.earlier_path = pathlib.Path(options["journal"]).with_suffix(".earlier")
         self.failing_path = pathlib.Path(options["journal"]).with_suffix(".failing")
+        self.host_path = pathlib.Path(options["journal"]).with_suffix(".host")
+        self.running = 0
         port = options["port"]
         self.write_record("up", name=f"server-{port}", version=options["version"])
 
@@ -107,6 +114,31 @@
         except FileNotFoundError:
             return ""
 
+    def host_percent(self):
+        """Return how long work takes now, in percent, or None if that is not told.
+
+        The file `.host` states the permanent part, 100 is as usual.
+        """
+        try:
+            percent = float(self.host_path.read_text())
+        except (FileNotFoundError, ValueError):
+            return None
+        phase_s = (time.time() + int(self.options["port"])) % SLOW_PERIOD_S
+        return percent * (SLOW_FACTOR if phase_s < SLOW_S else 1.0)
+
+    def read_load(self):
+        """Return the load report of an answer, or an empty string."""
+        percent = self.host_percent()
+        if percent is None:
+            return ""
+        slots = self.options["slots"]
+        waiting = max(0, self.running - slots)
+        return f"{self.running - waiting},{waiting},{slots},{percent:.0f}"
+
+    async def sleep(self, seconds):
+        """Work for some time, which is longer on a slow host."""
+        await asyncio.sleep(seconds * (self.host_percent() or 100.0) / 100)
+
     def draw_rest(self):
         """Return the seconds of rest to ask for with a request, or an empty string."""
         if random.random() >= REST_FRACTION:
@@ -233,6 +265,8 @@
             self.set_header("Server-Limit", self.limit)
         if self.is_leaving:
             self.set_header("Server-Leaving", "1")
+        if self.server.read_load():
+            self.set_header("X-Server-Load", self.server.read_load())
         if rest:
             self.set_status(503)
             self.set_header("X-Attempt-Id", self.identity)
@@ -255,6 +289,7 @@
             service=self.server.options["service"],
         )
         self.is_running = True
+        self.server.running += 1
         prompt = request_headers.get("X-Prefix-Hash", "")
         ending = self.get_argument("end", fatalparts.find_ending(prompt, time.time()))
         if ending:
@@ -304,6 +339,8 @@
             headers["Server-Limit"] = self.limit
         if self.is_leaving:
             headers["Server-Leaving"] = "1"
+        if self.server.read_load():
+            headers["X-Server-Load"] = self.server.read_load()
         return answers.Answer(self, headers, size, framings)
 
     async def send_endless(self, count):
@@ -321,7 +358,7 @@
 
     async def send_plain(self):
         """Send a plain answer; return whether it is complete."""
-        await asyncio.sleep(random.uniform(0.5, 2.0) * PLAIN_SERVICE_TIME_S)
+        await self.server.sleep(random.uniform(0.5, 2.0) * PLAIN_SERVICE_TIME_S)
         body = f"{self.identity} done by {self.server.identity}".encode()
         answer = self.begin_answer(len(body), "text/plain")
         if self.server.draws_break() and not answer.is_raw:
@@ -349,7 +386,7 @@
         broken = random.choice(events) if is_broken else b""
         next_events = [*events[1:], b""][: len(events)]
         for event, next_event in zip(events, next_events, strict=True):
-            await asyncio.sleep(random.uniform(0.5, 1.5) * MEAN_EVENT_INTERVAL_S)
+            await self.server.sleep(random.uniform(0.5, 1.5) * MEAN_EVENT_INTERVAL_S)
             if event == broken:
                 await answer.send_half(event)
                 answer.break_off(random.random() < RESET_FRACTION)
@@ -379,6 +416,7 @@
         """Record the end of the execution, once."""
         if self.is_running:
             self.is_running = False
+            self.server.running -= 1
             self.server.write_record("end", id=self.identity, whole=is_complete)
 
     def on_connection_close(self):
--- a/brasstrail/fakes/memory.py
+++ b/brasstrail/fakes/memory.py
@@ -51,7 +51,8 @@
     While `rest` is a text the server turns requests away and asks for that much rest;
     the items of `rests` are used up first. `asked` holds (gateway, time, seconds) of
     each answer that asked for rest, `visits` (gateway, time) of each request. While
-    `says_leaving` the server says so in each answer.
+    `says_leaving` the server says so in each answer. `load` is the load report in its
+    answers, as text, or None, and `stated_identity` the identity in them, or None.
     """
 
     def __init__(self, platform, identity, service, version):
@@ -71,6 +72,8 @@
         self.asked = []
         self.visits = []
         self.says_leaving = False
+        self.load = None
+        self.stated_identity = None
         self.connections = set()
         self.gate = asyncio.Event()
         self.gate.set()
@@ -204,6 +207,10 @@
         headers["Connection"] = "close"
         if self.server.limit is not None:
             headers["Server-Limit"] = self.server.limit
+        if self.server.load is not None:
+            headers["X-Server-Load"] = self.server.load
+        if self.server.stated_identity is not None:
+            headers["X-Instance-Id"] = self.server.stated_identity
         start_line = httputil.ResponseStartLine("HTTP/1.1", status, "x")
         self.chunks.put_nowait((start_line, headers))
 
--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -6,7 +6,8 @@
   prompt tokens and the maximum number of output tokens.
 - `X-Prefix-Hash` lists the parts of the prompt with their sizes, as `identity:tokens`.
 - `X-Length-Hint` is the expected number of output tokens.
-- `X-Server-Load` holds a server's running and waiting requests and its slots.
+- `X-Server-Load` holds a server's running and waiting requests and its slots. Some
+  servers add how long work takes on their host now, in percent of the usual time.
 - `Server-Limit` holds the requests a second that a server takes from all gateways.
 - `Retry-After` of a server's 503 is about the gateway that it answers: it wants
   nothing from that for so many seconds.
@@ -46,6 +47,12 @@
 # The highest count that a header states: tokens, requests, slots or seconds. Sums of
 # those of all requests fit into the messages between gateways.
 MAX_COUNT = 10**9
+# The host factors that are taken as they are told; others count as the nearer bound.
+# Hosts differ by a factor of 3 and are 2.5 times slower at moments: 20 leaves room for
+# more, and a higher figure would not change which server is chosen.
+MIN_HOST_FACTOR = 0.1
+MAX_HOST_FACTOR = 20.0
+HOST_PERCENT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 MISDIRECTED_REQUEST_STATUS = 421
 UNAVAILABLE_STATUS = 503
 
@@ -330,10 +337,25 @@
 
 def parse_load_report(value):
     """Return the server load in an answer's header, or None if it is not reported."""
-    numbers = parse_integer_list(value or "")
-    if len(numbers) != 3:
+    items = (value or "").split(",")
+    numbers = parse_integer_list(",".join(items[:3]))
+    if len(numbers) != 3 or len(items) > 4:
         return None
-    return servers.LoadReport(*numbers)
+    if len(items) == 3:
+        return servers.LoadReport(*numbers)
+    host_factor = parse_host_factor(items[3].strip())
+    return servers.LoadReport(*numbers, host_factor) if host_factor else None
+
+
+def parse_host_factor(value):
+    """Return the host factor that a percentage states, or None if it is malformed.
+
+    >>> parse_host_factor("170"), parse_host_factor("0"), parse_host_factor("-5")
+    (1.7, None, None)
+    """
+    if not HOST_PERCENT_PATTERN.fullmatch(value) or float(value) == 0:
+        return None
+    return min(MAX_HOST_FACTOR, max(MIN_HOST_FACTOR, float(value) / 100))
 
 
 def refusal_headers(call, retry_after_s):
--- a/brasstrail/platform/platform_test.py
+++ b/brasstrail/platform/platform_test.py
@@ -259,6 +259,28 @@
             head = headers.read_answer(start_line, httputil.HTTPHeaders(answer))
             self.assertIn(head.keep_alive_timeout_s, (None, headers.MAX_COUNT))
 
+    def test_malformed_load_reports_are_ignored_and_figures_bounded(self):
+        """Guards against a server that gets all requests, or none, by an odd figure."""
+        odd = (
+            "",
+            "1",
+            "1,2",
+            "1,2,3,",
+            "1,2,3,0",
+            "1,2,3,-5",
+            "1,2,3,nan",
+            "1,2,3,inf",
+        )
+        for value in (*odd, "1,2,3,1e9", "1,2,3,²", "1,2,3,4,5", "x,2,3,100"):
+            self.assertIsNone(headers.parse_load_report(value), value)
+        for value, factor in (
+            ("1,2,3", None),
+            ("1, 2, 3, 62.5", 0.625),
+            ("1,2,3,1", headers.MIN_HOST_FACTOR),
+            ("1,2,3," + "9" * 9, headers.MAX_HOST_FACTOR),
+        ):
+            self.assertEqual(headers.parse_load_report(value).host_factor, factor)
+
     def test_state_with_the_largest_requests_can_be_sent(self):
         call = self.make_call(X_Token_Usage="9" * 30 + "," + "9" * 30)
         share = pool.LoadShare(
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -766,8 +766,13 @@
     four from `identities` on have a row for each server, the next two one for each
     workspace. `reads_columns` tells that the sender reads columns.
 
-    If it `tells_levels`, the last two columns hold what is left of the allotments that
+    If it `tells_levels`, the next two columns hold what is left of the allotments that
     are not full, and the spending is told, too.
+
+    The columns from `report_identities` on have a row for each load report that the
+    sender has read in an answer within a second: the server and its start, its running
+    and waiting requests and its slots, its host factor in percent, and how old the
+    report is. They are sent to gateways that read columns only.
     """
 
     name: str
@@ -788,6 +793,13 @@
     tells_levels: bool = False
     level_workspaces: tuple[str, ...] = ()
     levels: tuple[float, ...] = ()
+    report_identities: tuple[str, ...] = ()
+    report_born_ms: tuple[int, ...] = ()
+    report_running: tuple[int, ...] = ()
+    report_waiting: tuple[int, ...] = ()
+    report_slots: tuple[int, ...] = ()
+    report_host_percents: tuple[int, ...] = ()
+    report_ages_ms: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -309,6 +309,13 @@
   tellsLevels @15 :Bool;
   levelWorkspaces @16 :List(Text);
   levels @17 :List(Float64);
+  reportIdentities @18 :List(Text);
+  reportBornMs @19 :List(Int64);
+  reportRunning @20 :List(Int64);
+  reportWaiting @21 :List(Int64);
+  reportSlots @22 :List(Int64);
+  reportHostPercents @23 :List(Int64);
+  reportAgesMs @24 :List(Int64);
 }
 
 struct StreamOrigins {
--- a/brasstrail/roles/columns.py
+++ b/brasstrail/roles/columns.py
@@ -5,8 +5,8 @@
 
 import math
 
-from brasstrail.coordination import allotments, pool
-from brasstrail.core import errors
+from brasstrail.coordination import allotments, loadreports, pool
+from brasstrail.core import errors, servers
 from brasstrail.protocol import messages
 
 
@@ -100,6 +100,50 @@
     return allotments.Report(spent, levels)
 
 
+def report_fields(shared, as_columns):
+    """Return the fields of a state for some `loadreports.SharedReport`s."""
+    if not as_columns or not shared:
+        return {}
+    reports = [each.report for each in shared]
+    return {
+        "report_identities": tuple(each.start[0] for each in shared),
+        "report_born_ms": tuple(each.start[1] for each in shared),
+        "report_running": tuple(each.running for each in reports),
+        "report_waiting": tuple(each.waiting for each in reports),
+        "report_slots": tuple(each.slots for each in reports),
+        "report_host_percents": tuple(
+            round(100 * each.host_factor) for each in reports
+        ),
+        "report_ages_ms": tuple(round(each.age_ms) for each in shared),
+    }
+
+
+def read_load_reports(state):
+    """Return the `loadreports.SharedReport`s in a `messages.GatewayState`.
+
+    Raises `errors.BadRequest` if its columns differ in length. Rows with figures that
+    no report has are left out.
+    """
+    columns = (
+        state.report_identities,
+        state.report_born_ms,
+        state.report_running,
+        state.report_waiting,
+        state.report_slots,
+        state.report_host_percents,
+        state.report_ages_ms,
+    )
+    check_lengths(state, *columns)
+    rows = zip(*columns, strict=True)
+    return [
+        loadreports.SharedReport(
+            (identity, born_ms), servers.LoadReport(*counts, percent / 100), age_ms
+        )
+        for identity, born_ms, *counts, percent, age_ms in rows
+        if percent > 0 and age_ms >= 0 and min(counts) >= 0
+    ]
+
+
 def check_finite(state, amounts):
     """Raise `errors.BadRequest` if amounts of a state are no numbers."""
     if not all(map(math.isfinite, amounts)):
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -510,7 +510,12 @@
 
     def log_choice(self, choice):
         """Log the chosen server and the values behind the choice."""
-        limit = {}
+        limit, host = {}, {}
+        if choice.host_factor is not None:
+            host = {
+                "host_factor": round(choice.host_factor, 2),
+                "host_factor_age_ms": round(choice.host_factor_age_ms),
+            }
         server = self.gateway.pool.servers.get(choice.identity)
         # The server may have left since it was chosen.
         if choice.permit is not None and server is not None and server.is_limited:
@@ -533,6 +538,7 @@
             others=choice.others,
             candidates=choice.candidates,
             **limit,
+            **host,
         )
 
     def log_unused_choice(self, choice, error):
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -399,11 +399,16 @@
         now_ms = clock.now_ms()
         shares = columns.read_load(message)
         report = columns.read_report(message)
+        load_reports = columns.read_load_reports(message)
         self.pool.update_load_shares(message.name, shares, now_ms)
         self.allotments.record_report(message.name, message.incarnation, report, now_ms)
         self.crashes.merge(message.name, message.crashes)
         self.limits.apply_reports(message.name, message.limits)
         sent_ms = now_ms - self.pauses.waited_ms(now_ms)
+        for each in load_reports:
+            self.pool.record_report(
+                each.start, each.report, sent_ms - each.age_ms, is_own=False
+            )
         for each in message.departures:
             start = each.identity, each.born_ms
             self.record_departure(start, message.name, sent_ms - each.heard_ms_ago)
@@ -433,6 +438,7 @@
             **columns.load_fields(self.pool.own_load_shares(), as_columns),
             **columns.spending_fields(report.spent or {}, as_columns),
             **columns.level_fields(report.levels),
+            **columns.report_fields(self.pool.own_reports(clock.now_ms()), as_columns),
         )
 
     def record_departure(self, start, source, heard_ms):
@@ -619,6 +625,8 @@
         gauge("gateway_servers", lambda: len(self.pool.servers))
         gauge("gateway_servers_leaving", lambda: len(self.leaving_servers()))
         gauge("gateway_servers_resting", lambda: len(self.resting_servers()))
+        gauge("gateway_host_factor", self.host_factors)
+        gauge("gateway_report_trust", self.report_trusts)
         gauge("gateway_datagrams", lambda: self.gossip.datagrams_sent)
         gauge("gateway_datagrams_unsent", lambda: self.gossip.datagrams_unsent)
         self.crashes.register_gauges(gauge)
@@ -634,6 +642,22 @@
             if server.start in self.pool.departures
         ]
 
+    def host_factors(self):
+        """Return the host factor of each server that tells one, by identity."""
+        now_ms = clock.now_ms()
+        factors = {
+            identity: server.host.factor(now_ms)
+            for identity, server in self.pool.servers.items()
+        }
+        return {name: each for name, each in factors.items() if each is not None}
+
+    def report_trusts(self):
+        """Return the trust in the reports of each server that tells a host factor."""
+        return {
+            identity: self.pool.servers[identity].host.trust
+            for identity in self.host_factors()
+        }
+
     def resting_servers(self):
         """Return the identities of the servers that rest now."""
         now_ms = clock.now_ms()
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -246,6 +246,7 @@
         self.head = self.gateway.dialect.read_answer(start_line, headers)
         self.record_limit()
         self.record_rest()
+        self.record_load()
         if self.head.is_leaving:
             self.record_departure()
         self.check_head()
@@ -272,16 +273,36 @@
 
         An answer that belongs to another request, or to another server, says nothing.
         """
-        head, request = self.head, self.request
-        is_foreign = head.attempt_id and head.attempt_id != request.identity
-        is_other_server = head.identity and head.identity != self.choice.identity
-        if is_foreign or is_other_server or head.status == MISDIRECTED_STATUS:
+        head = self.head
+        if self.is_from_other_server() or head.status == MISDIRECTED_STATUS:
             return
         if head.is_limit_readable:
             self.gateway.limits.record_answer(
                 self.sent_to, head.limit_per_s, self.tracked_run.sent_ms
             )
 
+    def is_from_other_server(self):
+        """Return whether the answer names another request or another server."""
+        head, request = self.head, self.request
+        is_foreign = head.attempt_id and head.attempt_id != request.identity
+        is_other_server = head.identity and head.identity != self.choice.identity
+        return bool(is_foreign or is_other_server)
+
+    def record_load(self):
+        """Record the load that the server reports, in a refusal as well.
+
+        A misdirected request was answered by another start than the one it was sent to.
+        """
+        report = self.head.load
+        if report is None or self.head.status == MISDIRECTED_STATUS:
+            return
+        if self.is_from_other_server():
+            return
+        start = self.sent_to.identity, self.sent_to.born_ms
+        self.gateway.pool.record_report(start, report, clock.now_ms())
+        tells_host = "no" if report.host_factor is None else "yes"
+        self.gateway.metrics.count("gateway_load_reports", host_factor=tells_host)
+
     def read_interim(self, start_line, headers):
         """Read an interim answer, of which only a departure matters."""
         if self.gateway.dialect.says_leaving(headers):
