Add locality-aware routing

Cause: a constant is added to the score of a server for its distance, so that the bytes of a request and the shortage of a data centre do not count, and most requests leave their data centre while its servers could serve them in time.

Change: coordination/zones.py decides which requests leave: local first within a quarter of the goal, price of measured round trips and bytes, a share that moves by at most a tenth in 100 ms, at once without local servers or if the goal would be missed, not to a cut region or a short data centre. It is on where gateway.link_cost_ms_per_kb names a price; without it decisions are as before.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -16,7 +16,7 @@
 import functools
 import itertools
 
-from brasstrail.coordination import departures, limits, rests, shares
+from brasstrail.coordination import departures, limits, rests, shares, zones
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -78,7 +78,8 @@
     of a successful answer. `caller_deadline_ms` is when the caller stops waiting.
     `output_tokens` is the expected length of the answer. `software` limits the work to
     servers with this `servers.Announcement.software`: None to none, and an empty string
-    to no server at all.
+    to no server at all. `transfer_bytes` is the expected size of the request and its
+    answer.
     """
 
     identity: str
@@ -91,6 +92,7 @@
     output_tokens: int = 0
     parts: tuple = ()
     software: str | None = None
+    transfer_bytes: int = 0
 
     def may_run_on(self, server):
         """Return whether a server is of the work's service and software."""
@@ -194,7 +196,8 @@
     answer under the present load. `running` counts this gateway's requests on the
     server, `others` those of the other gateways, and `candidates` the servers that had
     capacity. `software` is that of the work. `permit` is the one that is used for a
-    limited server, or None.
+    limited server, or None. `distance` is that of the server, and `reason` why a
+    gateway that decides on distances sent it there.
     """
 
     identity: str
@@ -205,6 +208,8 @@
     candidates: int
     software: str | None = None
     permit: object = None
+    distance: zones.Distance = zones.Distance.DATA_CENTRE
+    reason: str = ""
 
 
 class Openings:
@@ -221,12 +226,14 @@
     ----------
     loads : (capacity, running requests) of the usable servers, by the service and the
         software that works are limited to.
+    zone_loads : `zones.ZoneLoad` by data centre, by the same.
     """
 
     def __init__(self, server_pool, now_ms):
         self.pool = server_pool
         self.now_ms = now_ms
         self.loads = {}
+        self.zone_loads = {}
 
     @functools.cached_property
     def accepting(self):
@@ -289,6 +296,7 @@
     wanted : the servers that the last work would have gone to.
     rests : `rests.Rests`, the servers that want no requests from this gateway.
     departures : `departures.Departures`, the servers that leave.
+    zones : `zones.Zones`, or None if distances only add constants to scores.
     """
 
     def __init__(self, node, regions):
@@ -308,6 +316,7 @@
         self.wanted = []
         self.rests = rests.Rests()
         self.departures = departures.Departures()
+        self.zones = None
 
     # Server state.
 
@@ -473,6 +482,8 @@
         best = None
         candidates = 0
         without_permit = []
+        found = []
+        reason = ""
         self.wanted = []
         if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
             return None
@@ -484,8 +495,12 @@
                 without_permit.append((score, identity))
                 continue
             candidates += 1
+            found.append((score, identity, server))
             if best is None or score < best[0]:
                 best = (score, identity, server)
+        if self.zones is not None:
+            selection = self.zones.select(found, work, tried, now_ms, self, openings)
+            best, reason = selection.best, selection.reason
         self.wanted = [
             identity
             for score, identity in without_permit
@@ -506,6 +521,8 @@
             candidates,
             work.software,
             server.permits[0] if server.is_limited else None,
+            self.distance(server.announcement.data_centre),
+            reason,
         )
 
     def find_openings(self, now_ms):
@@ -658,7 +675,7 @@
         if server.silent:
             delay_ms += OTHER_REGION_COST_MS
         delay_ms *= 1.0 + 4.0 * server.failure_rate
-        return delay_ms + self.network_cost_ms(server.announcement.data_centre)
+        return delay_ms + self.price_ms(server.announcement.data_centre, work)
 
     def deadline_risk_ms(self, server, work, decode_start_ms):
         """Return what the length of an answer adds to a server's score, in ms.
@@ -695,6 +712,17 @@
             20.0 + (work.input_tokens + pending_tokens) / DEFAULT_PREFILL_TOKENS_PER_MS
         )
 
+    def price_ms(self, data_centre, work):
+        """Return what the distance to a data centre adds to a score, in ms."""
+        cost_ms = self.network_cost_ms(data_centre)
+        if self.zones is None:
+            return cost_ms
+        return self.zones.price_ms(data_centre, cost_ms, work)
+
+    def distance(self, data_centre):
+        """Return the `zones.Distance` of a data centre."""
+        return zones.find_distance(self.node, self.regions, data_centre)
+
     def network_cost_ms(self, data_centre):
         """Return the cost of the network path to a data centre, in ms."""
         if data_centre == self.node.data_centre:
@@ -737,7 +765,8 @@
             is_owed = ticket in owed_tickets
             choice = self.choose(work, tried, now_ms, openings, is_owed)
             if choice is None:
-                if not tried:
+                # With `zones`, others of the group may leave the data centre before it.
+                if not tried and (self.zones is None or not openings.servers):
                     blocked[group] = self.wanted
                 continue
             del self.waiting[ticket]
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -113,6 +113,16 @@
         self.gateways = []
         self.pending_load_share_sends = set()
         self.kinds = kinds
+        self.make_gateways(make_pool)
+        self.make_engines()
+        for arrival in load.make_arrivals(rng, kinds, phases, GATEWAY_COUNT):
+            self.results[arrival.identity] = RequestResult(arrival)
+            self.schedule(arrival.at_ms, self.handle_arrival, arrival)
+        self.end_ms = sum(phase.duration_ms for phase in phases) + 15_000
+        self.schedule(TICK_INTERVAL_MS, self.tick)
+
+    def make_gateways(self, make_pool):
+        """Create the pools of the gateways, spread over the data centres."""
         for number in range(GATEWAY_COUNT):
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             node = settings.Node(
@@ -121,12 +131,6 @@
             gateway = make_pool(node, REGIONS)
             gateway.gateway_count = GATEWAY_COUNT
             self.gateways.append(gateway)
-        self.make_engines()
-        for arrival in load.make_arrivals(rng, kinds, phases, GATEWAY_COUNT):
-            self.results[arrival.identity] = RequestResult(arrival)
-            self.schedule(arrival.at_ms, self.handle_arrival, arrival)
-        self.end_ms = sum(phase.duration_ms for phase in phases) + 15_000
-        self.schedule(TICK_INTERVAL_MS, self.tick)
 
     def make_engines(self):
         """Create the engines and announce them to all gateways."""
@@ -220,6 +224,7 @@
             result.dispatched_ms = self.now_ms
             result.predicted_first_answer_ms = choice.expected_first_answer_ms
             delay_ms = self.network_delay_ms(number, choice.identity)
+            delay_ms += self.record_dispatch(number, arrival, choice)
             self.schedule(
                 self.now_ms + delay_ms, self.deliver_to_engine, arrival, choice
             )
@@ -235,6 +240,10 @@
             1 if REGIONS[gateway_location] == REGIONS[engine_location] else 2
         ]
 
+    def record_dispatch(self, number, arrival, choice):
+        """Return how long a dispatched request waits for the network, in ms."""
+        return 0.0
+
     def schedule_load_share_send(self, number):
         """Schedule one update of a gateway's load shares, unless one is pending."""
         if number not in self.pending_load_share_sends:
@@ -269,7 +278,7 @@
 
     def tick(self):
         """Dispatch at every gateway; send all load shares every 20 ticks."""
-        for number in range(GATEWAY_COUNT):
+        for number in range(len(self.gateways)):
             self.dispatch_requests(number)
             if int(self.now_ms / TICK_INTERVAL_MS) % 20 == 0:
                 self.send_load_shares(number)
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -15,7 +15,7 @@
 
 from tornado import iostream
 
-from brasstrail.coordination import origins, pool
+from brasstrail.coordination import origins, pool, zones
 from brasstrail.core import calls, clock, data, errors, parts
 from brasstrail.roles import admitting, crashes, refusals, replies, sending
 
@@ -246,6 +246,9 @@
             prompt.input_tokens if prompt else 0,
             prompt.expected_output_tokens if prompt else 0,
             prompt.parts if prompt else (),
+            transfer_bytes=zones.transfer_bytes(
+                len(self.body), prompt.expected_output_tokens if prompt else 0
+            ),
         )
 
     def bound_work(self):
@@ -360,6 +363,7 @@
         metrics, tier = self.gateway.metrics, self.admitted.rank[0]
         metrics.record("gateway_wait", self.waited_ms / 1000, tier=tier)
         metrics.count("gateway_sendings")
+        metrics.count("gateway_distance_sendings", distance=str(choice.distance))
         self.log_choice(choice)
 
     def latest_start_ms(self, work):
@@ -532,6 +536,8 @@
             running=choice.running,
             others=choice.others,
             candidates=choice.candidates,
+            distance=str(choice.distance),
+            reason=str(choice.reason),
             **limit,
         )
 
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -13,7 +13,7 @@
 
 from tornado import httpserver, httputil, ioloop
 
-from brasstrail.coordination import allotments, directory, pool, retries
+from brasstrail.coordination import allotments, directory, pool, retries, zones
 from brasstrail.core import catalog, clock, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import (
@@ -132,6 +132,7 @@
         self.used_version = 0
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
+        self.pool.zones = self.make_zones()
         self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
         self.allotments = allotments.Allotments(
             now_ms,
@@ -162,6 +163,14 @@
         self.ready_http = None
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
 
+    def make_zones(self):
+        """Return the `zones.Zones` if the settings name prices, or None."""
+        link_cost = self.settings.link_cost_ms_per_kb
+        if not link_cost.is_set:
+            return None
+        node = self.hub.settings.node
+        return zones.Zones(node, dict(node.regions), link_cost)
+
     # Start and stop.
 
     async def start(self):
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -89,6 +89,15 @@
     latency("gateway_first_event", "Arrival to a stream's first event.", "tier"),
     counter("gateway_refusals", "requests", "Refusals by their reason.", "reason"),
     counter("gateway_sendings", "sendings", "Requests sent to servers."),
+    counter(
+        "gateway_distance_sendings", "sendings", "Sendings by distance.", "distance"
+    ),
+    counter(
+        "gateway_distance_bytes",
+        "bytes",
+        "Bytes of bodies sent to servers and received, by distance.",
+        "distance",
+    ),
     counter("gateway_failed_sendings", "sendings", "Sendings that failed.", "reason"),
     counter("gateway_retries", "retries", "Retries asked of the budget.", "outcome"),
     counter("gateway_crashes", "crashes", "Crashes of servers seen here.", "reason"),
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -62,6 +62,7 @@
     is_complete : whether the whole answer was received.
     tracked_run : `suspects.Run`, or None before the request is written.
     sent_to : the `servers.Announcement` of the server when the request was written.
+    transferred_bytes : the size of the body that was sent and of what was received.
     """
 
     def __init__(self, request, place, work):
@@ -77,6 +78,7 @@
         self.head = None
         self.tracked_run = None
         self.sent_to = None
+        self.transferred_bytes = 0
 
     async def run(self):
         """Send the request and relay its answer to the caller.
@@ -89,6 +91,7 @@
             stack.callback(self.record_service_time, clock.now_ms())
             stack.callback(self.release_connection)
             stack.callback(self.record_end)
+            stack.callback(self.record_bytes)
             stack.callback(self.end_tracking)
             try:
                 await self.open()
@@ -122,6 +125,15 @@
         self.request.framings.append(self.connection.framing or "none")
         self.request.server_ends.append(self.connection.end or "unread")
 
+    def record_bytes(self):
+        """Count the bytes of the request and its answer by distance."""
+        if self.transferred_bytes:
+            self.gateway.metrics.count(
+                "gateway_distance_bytes",
+                self.transferred_bytes,
+                distance=str(self.choice.distance),
+            )
+
     def release_connection(self):
         """Return the connection to the pool for reuse, or close it."""
         if self.connection is None:
@@ -149,18 +161,34 @@
                 announcement.address, announcement.identity
             )
         if self.connection is None:
-            try:
-                self.connection = await connections.open(
-                    announcement.address, CONNECT_TIMEOUT_MS
-                )
-            except upstream.ConnectFailed as error:
-                raise refusals.NotRun("connect_failed", True) from error
+            self.connection = await self.connect(announcement)
         # The server may have left while the connection was opened.
         self.sent_to = self.announcement()
         self.check_available()
         if self.work.software is not None:
             await self.verify_start()
 
+    async def connect(self, announcement):
+        """Return a new connection to the server; tell the pool's zones of it."""
+        server_zones = self.gateway.pool.zones
+        started_ms = clock.now_ms()
+        try:
+            connection = await self.gateway.connections.open(
+                announcement.address, CONNECT_TIMEOUT_MS
+            )
+        except upstream.ConnectRefused as error:
+            raise refusals.NotRun("connect_failed", True) from error
+        except upstream.ConnectFailed as error:
+            if server_zones is not None:
+                server_zones.record_connect_failure(
+                    announcement.data_centre, clock.now_ms()
+                )
+            raise refusals.NotRun("connect_failed", True) from error
+        if server_zones is not None:
+            elapsed_ms = clock.now_ms() - started_ms
+            server_zones.record_connect(announcement.data_centre, elapsed_ms)
+        return connection
+
     async def verify_start(self):
         """Ask the server on its connection when it started.
 
@@ -229,6 +257,7 @@
         self.place.is_used = True
         self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
         self.connection.on_interim = self.read_interim
+        self.transferred_bytes += len(request.body)
         self.connection.send(call.method, call.target, headers, request.body)
 
     # Answer.
@@ -375,6 +404,7 @@
             raise refusals.ExecutionUnknown("answer_too_large", True) from error
         except upstream.AnswerIncomplete as error:
             raise refusals.ServerBrokeOff("broken_body", True) from error
+        self.transferred_bytes += len(body)
         self.reply.send_complete(self.head, body)
 
     def is_event_stream(self):
@@ -406,6 +436,7 @@
                 )
                 if chunk is None:
                     break
+                self.transferred_bytes += len(chunk)
                 complete_events = self.reply.event_cutter.feed(chunk)
                 if complete_events:
                     opened_ms = self.connection.opened_ms
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -24,6 +24,8 @@
 MIN_SECRET_CHARACTERS = 16
 MAX_PORT = 65535
 KEYS_THAT_ALLOW_ZERO = ("replicas", "losses", "admin_port")
+# A request of 9 KB then costs 90 s, longer than any caller waits.
+MAX_LINK_COST_MS_PER_KB = 10_000
 # The lease lasts this fraction of `revoke_ms`, the time within which a removed key must
 # stop working. The rest covers requests that were admitted just before the lease ended.
 LEASE_FRACTION = 0.9
@@ -162,6 +164,26 @@
         return 2 * self.losses + 1
 
 
+@dataclasses.dataclass(frozen=True)
+class LinkCost:
+    """The price of a kilobyte that crosses a link, as milliseconds of delay.
+
+    `region` applies between data centres of a region, and `other_region` between
+    regions. With both at 0, distances only add constants to the expected delays.
+    Otherwise a request leaves its data centre only if the servers there are expected
+    to be short, and the time that it gains is worth more than this price and the
+    measured round trips.
+    """
+
+    region: float = 0.0
+    other_region: float = 0.0
+
+    @property
+    def is_set(self):
+        """Whether a price is set."""
+        return self.region > 0 or self.other_region > 0
+
+
 @dataclasses.dataclass(frozen=True)
 class GatewayRole:
     """The gateway role: serves callers that use plain HTTP, routed by the catalog.
@@ -173,7 +195,8 @@
     plus `retry_slack` in any `retry_window_s` seconds, over all gateways. Counts are
     not exact, so workspaces may be admitted beyond their allotments; the excess
     stays below `allotment_slack` (in the allotment's unit) in any
-    `allotment_window_s` seconds.
+    `allotment_window_s` seconds. `link_cost_ms_per_kb` is the table of the prices of
+    bytes by distance.
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -188,6 +211,7 @@
     allotment_slack: float = 0.0
     allotment_window_s: float = 8.0
     max_held_bytes: int = 32 * 1024 * 1024
+    link_cost_ms_per_kb: LinkCost = LinkCost()
 
     @property
     def lease_ms(self):
@@ -424,6 +448,18 @@
                 continue
             if field.type is int and value <= 0:
                 yield f"{table}.{field.name} is {value}; give a positive number"
+    yield from find_link_cost_problems(loaded.gateway.link_cost_ms_per_kb)
+
+
+def find_link_cost_problems(link_cost):
+    """Yield the problems of prices that are negative or beyond any use."""
+    for field in dataclasses.fields(link_cost):
+        value = getattr(link_cost, field.name)
+        if not 0 <= value <= MAX_LINK_COST_MS_PER_KB:
+            yield (
+                f"gateway.link_cost_ms_per_kb.{field.name} is {value}; "
+                f"give 0 to {MAX_LINK_COST_MS_PER_KB}"
+            )
 
 
 def find_auth_problems(loaded):
--- a/brasstrail/settings/settings_test.py
+++ b/brasstrail/settings/settings_test.py
@@ -32,6 +32,11 @@
     ("[node]", "[node", "is not TOML"),
     ("[node]", "[entry]\nmax_waiting = 0\n[node]", "entry.max_waiting"),
     ("[node]", '[log]\nformat = "xml"\n[node]', "log.format"),
+    (
+        "[node]",
+        "[gateway.link_cost_ms_per_kb]\nregion = -1.0\n[node]",
+        "link_cost_ms_per_kb.region",
+    ),
 ]
 
 
--- a/brasstrail/tools/pages.py
+++ b/brasstrail/tools/pages.py
@@ -26,6 +26,7 @@
     ("agent", settings.AgentRole),
     ("control", settings.ControlRole),
     ("gateway", settings.GatewayRole),
+    ("gateway.link_cost_ms_per_kb", settings.LinkCost),
     ("metrics", settings.MetricsPage),
     ("auth.tokens", settings.Token),
     ("log", settings.Log),
@@ -77,6 +78,8 @@
         return "required"
     if isinstance(field.default, tuple):
         return "`[]`"
+    if dataclasses.is_dataclass(field.default):
+        return "its own table"
     return f"`{field.default!r}`".replace("'", '"')
 
 
