--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -17,7 +17,14 @@
 import itertools
 import random
 
-from brasstrail.coordination import departures, limits, loadreports, rests, shares
+from brasstrail.coordination import (
+    departures,
+    limits,
+    loadreports,
+    rests,
+    shares,
+    zones,
+)
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -79,7 +86,8 @@
     of a successful answer. `caller_deadline_ms` is when the caller stops waiting.
     `output_tokens` is the expected length of the answer. `software` limits the work to
     servers with this `servers.Announcement.software`: None to none, and an empty string
-    to no server at all.
+    to no server at all. `transfer_bytes` is the expected size of the request and its
+    answer.
     """
 
     identity: str
@@ -92,6 +100,7 @@
     output_tokens: int = 0
     parts: tuple = ()
     software: str | None = None
+    transfer_bytes: int = 0
 
     def may_run_on(self, server):
         """Return whether a server is of the work's service and software."""
@@ -203,7 +212,9 @@
     server, `others` those of the other gateways, and `candidates` the servers that had
     capacity. `software` is that of the work. `permit` is the one that is used for a
     limited server, or None. `host_factor` is what the server tells of its host, and
-    `host_factor_age_ms` how old the last report is; None if it tells none.
+    `host_factor_age_ms` how old the last report is; None if it tells none. `distance`
+    is that of the server, and `reason` why a gateway that decides on distances sent it
+    there.
     """
 
     identity: str
@@ -216,6 +227,8 @@
     permit: object = None
     host_factor: float | None = None
     host_factor_age_ms: float | None = None
+    distance: zones.Distance = zones.Distance.DATA_CENTRE
+    reason: str = ""
 
 
 class Openings:
@@ -232,12 +245,14 @@
     ----------
     loads : (capacity, running requests) of the usable servers, by the service and the
         software that works are limited to.
+    zone_loads : `zones.ZoneLoad` by data centre, by the same.
     """
 
     def __init__(self, server_pool, now_ms):
         self.pool = server_pool
         self.now_ms = now_ms
         self.loads = {}
+        self.zone_loads = {}
 
     @functools.cached_property
     def accepting(self):
@@ -301,6 +316,7 @@
     rests : `rests.Rests`, the servers that want no requests from this gateway.
     departures : `departures.Departures`, the servers that leave.
     rng : `random.Random`, which draws among servers that are equally good.
+    zones : `zones.Zones`, or None if distances only add constants to scores.
     """
 
     def __init__(self, node, regions):
@@ -321,6 +337,7 @@
         self.rests = rests.Rests()
         self.departures = departures.Departures()
         self.rng = random.Random()
+        self.zones = None
 
     # Server state.
 
@@ -500,6 +517,7 @@
         openings = openings or self.find_openings(now_ms)
         candidates = []
         without_permit = []
+        reason = ""
         self.wanted = []
         if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
             return None
@@ -511,7 +529,14 @@
                 without_permit.append((score, identity))
                 continue
             candidates.append(loadreports.Candidate(score, identity, server))
-        best = loadreports.select(candidates, now_ms, self.rng)
+        if self.zones is None:
+            best = loadreports.select(candidates, now_ms, self.rng)
+        else:
+            found = [(each.score_ms, each.identity, each.server) for each in candidates]
+            selection = self.zones.select(found, work, tried, now_ms, self, openings)
+            best, reason = None, selection.reason
+            if selection.best is not None:
+                best = loadreports.Candidate(*selection.best)
         self.wanted = [
             identity
             for score, identity in without_permit
@@ -535,6 +560,8 @@
             server.permits[0] if server.is_limited else None,
             host_factor,
             None if host_factor is None else server.host.age_ms(now_ms),
+            self.distance(server.announcement.data_centre),
+            reason,
         )
 
     def find_openings(self, now_ms):
@@ -690,7 +717,7 @@
         if server.silent:
             delay_ms += OTHER_REGION_COST_MS
         delay_ms *= 1.0 + 4.0 * server.failure_rate
-        return delay_ms + self.network_cost_ms(server.announcement.data_centre)
+        return delay_ms + self.price_ms(server.announcement.data_centre, work)
 
     def deadline_risk_ms(self, server, work, decode_start_ms):
         """Return what the length of an answer adds to a server's score, in ms.
@@ -728,6 +755,17 @@
             20.0 + (work.input_tokens + pending_tokens) / DEFAULT_PREFILL_TOKENS_PER_MS
         )
 
+    def price_ms(self, data_centre, work):
+        """Return what the distance to a data centre adds to a score, in ms."""
+        cost_ms = self.network_cost_ms(data_centre)
+        if self.zones is None:
+            return cost_ms
+        return self.zones.price_ms(data_centre, cost_ms, work)
+
+    def distance(self, data_centre):
+        """Return the `zones.Distance` of a data centre."""
+        return zones.find_distance(self.node, self.regions, data_centre)
+
     def network_cost_ms(self, data_centre):
         """Return the cost of the network path to a data centre, in ms."""
         if data_centre == self.node.data_centre:
@@ -770,7 +808,8 @@
             is_owed = ticket in owed_tickets
             choice = self.choose(work, tried, now_ms, openings, is_owed)
             if choice is None:
-                if not tried:
+                # With `zones`, others of the group may leave the data centre before it.
+                if not tried and (self.zones is None or not openings.servers):
                     blocked[group] = self.wanted
                 continue
             del self.waiting[ticket]
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -149,15 +149,7 @@
         self.gateways = []
         self.pending_load_share_sends = set()
         self.kinds = kinds
-        for number in range(setup.gateway_count):
-            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            node = settings.Node(
-                f"g{number}", ("gateway",), REGIONS[data_centre], data_centre
-            )
-            gateway = make_pool(node, REGIONS)
-            gateway.gateway_count = setup.gateway_count
-            gateway.rng = random.Random(number)
-            self.gateways.append(gateway)
+        self.make_gateways(make_pool)
         self.make_engines()
         for arrival in load.make_arrivals(rng, kinds, phases, setup.gateway_count):
             self.results[arrival.identity] = RequestResult(arrival)
@@ -168,6 +160,18 @@
             for identity in self.engines:
                 self.schedule_slow_moments(rng, identity)
 
+    def make_gateways(self, make_pool):
+        """Create the pools of the gateways, spread over the data centres."""
+        for number in range(self.setup.gateway_count):
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            node = settings.Node(
+                f"g{number}", ("gateway",), REGIONS[data_centre], data_centre
+            )
+            gateway = make_pool(node, REGIONS)
+            gateway.gateway_count = self.setup.gateway_count
+            gateway.rng = random.Random(number)
+            self.gateways.append(gateway)
+
     def make_engines(self):
         """Create the engines and announce them to all gateways."""
         for number, slowdown in enumerate(self.setup.slowdowns):
@@ -273,6 +277,7 @@
             result.dispatched_ms = self.now_ms
             result.predicted_first_answer_ms = choice.expected_first_answer_ms
             delay_ms = self.network_delay_ms(number, choice.identity)
+            delay_ms += self.record_dispatch(number, arrival, choice)
             self.schedule(
                 self.now_ms + delay_ms, self.deliver_to_engine, arrival, choice
             )
@@ -288,6 +293,10 @@
             1 if REGIONS[gateway_location] == REGIONS[engine_location] else 2
         ]
 
+    def record_dispatch(self, number, arrival, choice):
+        """Return how long a dispatched request waits for the network, in ms."""
+        return 0.0
+
     def schedule_load_share_send(self, number):
         """Schedule one update of a gateway's load shares, unless one is pending."""
         if number not in self.pending_load_share_sends:
@@ -329,7 +338,7 @@
 
     def tick(self):
         """Dispatch at every gateway; send all load shares every 20 ticks."""
-        for number in range(self.setup.gateway_count):
+        for number in range(len(self.gateways)):
             self.dispatch_requests(number)
             if int(self.now_ms / TICK_INTERVAL_MS) % 20 == 0:
                 self.send_load_shares(number)
