Pass the tier on in a test that records the charges of allotments

Cause: the recorder in ReadinessTest took three arguments; a charge now has the tier of the route, too. Change: the recorder takes and passes it on; the checks are the same.

--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -594,9 +594,9 @@
         acquire = self.gateway.allotments.acquire
         charged_ms = []
 
-        def record(workspace, cost, now_ms):
+        def record(workspace, cost, now_ms, tier):
             charged_ms.append(now_ms)
-            return acquire(workspace, cost, now_ms)
+            return acquire(workspace, cost, now_ms, tier)
 
         self.gateway.allotments.acquire = record
         calling = asyncio.ensure_future(self.call("safe"))
