Refuse early by an estimate of waits from the demand of each rank

Cause: chats of the lowest rank were held for 8 to 15 s and then refused. The expected wait used one time for all kinds, the starts of the last 2 s, ignored the capacity that is reserved from the rank, and was not checked again while a request waited.

Change: `coordination/waits.py` estimates waits with a fluid model: time at a server by size and rank (learned), demand of each rank (decayed arrivals times time), the queue and what runs by rank at this and other gateways, the places that a rank may use, and prefill. A request that would miss its goal is judged by what the usual demand (20 s) of its own rank leaves. It is checked at arrival and at each tick; a request that misses its latest start at two ticks by 15 % is refused, the last ones of a rank first. Only requests that were not sent anywhere are refused so. Where no capacity is known, or servers name limits, waiting requests are judged as before. Gateways tell each other at most 32 rows in `GatewayState`. The depth of a rank counted a waiting rank without recent arrivals wrongly, so that less than none was left to it; this is mended. The end line has `predicted_wait_ms`; histogram `gateway_wait_error_ms`.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -16,7 +16,7 @@
 import functools
 import itertools
 
-from brasstrail.coordination import departures, limits, rests, shares
+from brasstrail.coordination import departures, limits, rests, shares, waits
 from brasstrail.core import servers
 
 # Fraction of the capacity that is withheld from the lowest rank and reserved for the
@@ -26,11 +26,6 @@
 # Requests that may queue inside an engine beyond its slots. Without them a slot would
 # stay empty until all gateways have received the report that it is free.
 ENGINE_QUEUE_REQUESTS = 2
-# The rate of starts (dispatches of waiting requests) is measured over the last two
-# seconds. The fraction of it that remains for a rank is never assumed to be below this
-# minimum.
-START_RATE_WINDOW_MS = 2000
-MIN_REMAINING_FRACTION = 0.1
 # How long a request occupies capacity, assumed until a service has measurements, and
 # the weight of a new measurement in the moving average.
 DEFAULT_SERVICE_TIME_MS = 300.0
@@ -43,8 +38,6 @@
 # Prompts are sent to an engine as long as its prefill backlog is no longer than this
 # at its measured speed: enough to keep it busy during a round trip between regions.
 MAX_PREFILL_BACKLOG_MS = 200.0
-# Lowest capacity that an expected wait is based on: that of servers with low limits.
-MIN_CAPACITY = 0.01
 # Milliseconds for each output token, assumed until the speed is known.
 DEFAULT_OUTPUT_TOKEN_MS = 5.0
 SPEED_SMOOTHING_FACTOR = 0.2
@@ -279,7 +272,9 @@
     ----------
     peer_loads : `PeerLoad` by gateway, the one heard of longest ago first.
     waiting : (work, identities of servers already tried) by ticket.
-    recent_starts : (time, service, rank) of the starts in the rate window.
+    latest_ms : the latest useful start of waiting requests by ticket, for those that
+        may be refused before it.
+    estimates : `waits.Estimates`, the demand from which waits are estimated.
     rank_arrivals_ms : the last arrival of each rank, by service.
     rank_shares : `shares.RankShares` by service.
     service_times_ms : moving average of how long requests occupy capacity, by service.
@@ -299,7 +294,8 @@
         self.peer_loads = {}
         self.waiting = {}
         self.ticket_numbers = itertools.count()
-        self.recent_starts = collections.deque()
+        self.latest_ms = {}
+        self.estimates = waits.Estimates()
         self.rank_arrivals_ms = {}
         self.rank_shares = collections.defaultdict(shares.RankShares)
         self.service_times_ms = {}
@@ -356,7 +352,7 @@
             for load in self.peer_loads.values():
                 load.shares.pop(identity, None)
 
-    def update_load_shares(self, name, shares, now_ms):
+    def update_load_shares(self, name, shares, now_ms, rows=None):
         """Replace the load shares of another gateway.
 
         Parameters
@@ -364,6 +360,7 @@
         name : the other gateway.
         shares : `LoadShare` by server identity; on servers that are not listed the
             gateway runs nothing.
+        rows : its `waits.Row` by service and rank, or None if it has told none.
         """
         self.drop_load_shares(name)
         known = {
@@ -374,10 +371,13 @@
         for identity, share in known.items():
             self.servers[identity].others.add(share)
         self.peer_loads[name] = PeerLoad(known, now_ms)
+        if rows is not None:
+            self.estimates.update(name, rows)
 
     def drop_load_shares(self, name):
         """Forget the load shares of another gateway."""
         load = self.peer_loads.pop(name, None)
+        self.estimates.drop(name)
         for identity, share in load.shares.items() if load else ():
             self.servers[identity].others.add(share, -1)
 
@@ -403,6 +403,24 @@
             if server.running
         }
 
+    def count_running(self):
+        """Return how many requests this gateway runs, by service and rank."""
+        return collections.Counter(
+            (work.service, work.rank)
+            for server in self.servers.values()
+            for work in server.running.values()
+        )
+
+    def count_waiting(self):
+        """Return how many requests wait here, by service and rank."""
+        return collections.Counter(
+            (work.service, work.rank) for work, _ in self.waiting.values()
+        )
+
+    def own_rows(self, now_ms):
+        """Return this gateway's `waits.Row` by service and rank."""
+        return self.estimates.rows(self.count_waiting(), self.count_running(), now_ms)
+
     # Measurements from calls.
 
     def add_running(self, identity, work):
@@ -527,6 +545,7 @@
         """Record that a rank has requested a service."""
         self.rank_arrivals_ms.setdefault(work.service, {})[work.rank] = work.arrived_ms
         self.rank_shares[work.service].record_arrival(work.rank, work.arrived_ms)
+        self.estimates.record_arrival(work, work.arrived_ms, self.gateway_count)
 
     def has_capacity_for_rank(self, work, now_ms, openings):
         """Return whether capacity is left for a request of its rank.
@@ -536,18 +555,25 @@
         arrive. The fraction grows with the square of the depth, so the middle ranks
         leave little. Nothing is reserved for ranks without recent requests.
         """
+        fraction = self.usable_fraction(work.service, work.rank, now_ms)
+        if fraction == 1.0:
+            return True
+        capacity, running = openings.load(work)
+        return running < fraction * capacity
+
+    def usable_fraction(self, service, rank, now_ms):
+        """Return the fraction of a service's capacity that a rank may use."""
         active_ranks = sorted(
-            rank
-            for rank, arrived_ms in self.rank_arrivals_ms.get(work.service, {}).items()
+            other
+            for other, arrived_ms in self.rank_arrivals_ms.get(service, {}).items()
             if now_ms - arrived_ms <= RANK_ACTIVITY_WINDOW_MS
         )
-        higher_ranks = sum(rank < work.rank for rank in active_ranks)
+        higher_ranks = sum(other < rank for other in active_ranks)
         if not higher_ranks:
-            return True
-        depth = higher_ranks / max(1, len(active_ranks) - 1)
-        usable_fraction = 1.0 - RESERVED_CAPACITY_FRACTION * depth * depth
-        capacity, running = openings.load(work)
-        return running < usable_fraction * capacity
+            return 1.0
+        # The rank itself counts as active while a request of it waits.
+        depth = higher_ranks / max(1, len({*active_ranks, rank}) - 1)
+        return 1.0 - RESERVED_CAPACITY_FRACTION * depth * depth
 
     def usable_capacity(self, work, now_ms):
         """Return the capacity of the servers that may run a work now, and its use.
@@ -705,15 +731,27 @@
 
     # Queue.
 
-    def enqueue(self, work, tried):
-        """Add a request to the queue; return its ticket."""
+    def enqueue(self, work, tried, latest_ms=None):
+        """Add a request to the queue; return its ticket.
+
+        `latest_ms` is its latest useful start if it may be refused before that.
+        """
         ticket = next(self.ticket_numbers)
+        if latest_ms is not None:
+            self.latest_ms[ticket] = latest_ms
         self.waiting[ticket] = (work, tried)
         return ticket
 
     def remove_waiting(self, ticket):
         """Remove a request from the queue."""
         self.waiting.pop(ticket, None)
+        self.latest_ms.pop(ticket, None)
+
+    def find_unserved(self, now_ms):
+        """Return the tickets of waiting requests that will not be served in time."""
+        if not self.latest_ms:
+            return []
+        return waits.Forecast(self, now_ms).find_unserved()
 
     def dispatch_waiting(self, now_ms):
         """Dispatch waiting requests to servers; return (ticket, choice) pairs.
@@ -740,13 +778,12 @@
                 if not tried:
                     blocked[group] = self.wanted
                 continue
-            del self.waiting[ticket]
+            self.remove_waiting(ticket)
             self.add_running(choice.identity, work)
             self.rests.record_sent(self.servers[choice.identity].start, now_ms)
             openings.record_start(choice.identity)
             if choice.permit is not None:
                 self.servers[choice.identity].permits.popleft()
-            self.record_start(work, now_ms)
             if not tried:
                 self.rank_shares[work.service].record_start(work.rank, now_ms)
             dispatches.append((ticket, choice))
@@ -779,51 +816,13 @@
 
         return sorted(self.waiting.items(), key=sort_key)
 
-    def record_start(self, work, now_ms):
-        """Record a start, from which the start rate of a service is measured."""
-        self.recent_starts.append((now_ms, work.service, work.rank))
-        while (
-            self.recent_starts
-            and self.recent_starts[0][0] < now_ms - START_RATE_WINDOW_MS
-        ):
-            self.recent_starts.popleft()
-
     def expected_wait_ms(self, work, now_ms):
-        """Return how long a request would wait, at the present start rate.
-
-        Assumes that every other gateway has as many requests waiting as this one.
-        Higher ranks go first: the fraction of the capacity that their recent starts
-        use is not available to the request.
-        """
-        ahead = sum(
-            1
-            for other, _ in self.waiting.values()
-            if other.service == work.service
-            and other.rank <= work.rank
-            and self.compete(other, work)
-        )
+        """Return how long a request would wait that arrives now; see `waits`."""
         rest_ms = self.rest_wait_ms(work, now_ms)
-        if not ahead or self.is_owed_next(work):
+        if self.is_owed_next(work):
             return rest_ms
-        capacity, _ = self.usable_capacity(work, now_ms + rest_ms)
-        start_interval_ms = (
-            self.service_time_ms(work.service)
-            * self.gateway_count
-            / max(MIN_CAPACITY, capacity)
-        )
-        higher_rank_starts = sum(
-            1
-            for started_ms, service, rank in self.recent_starts
-            if service == work.service
-            and rank < work.rank
-            and started_ms >= now_ms - START_RATE_WINDOW_MS
-        )
-        remaining_fraction = (
-            1.0 - higher_rank_starts * start_interval_ms / START_RATE_WINDOW_MS
-        )
-        return rest_ms + (
-            ahead * start_interval_ms / max(MIN_REMAINING_FRACTION, remaining_fraction)
-        )
+        forecast = waits.Forecast(self, now_ms + rest_ms)
+        return rest_ms + forecast.arrival_wait_ms(work)
 
     def is_owed_next(self, work):
         """Return whether a rank is owed more requests than those of it that wait."""
@@ -872,8 +871,14 @@
         )
         return self.prefill_time_ms(work, 0) + work.output_tokens * token_ms
 
-    def record_service_time(self, service, observed_ms):
-        """Record how long a request has occupied capacity."""
+    def record_service_time(self, service, observed_ms, work=None):
+        """Record how long a request has occupied capacity.
+
+        `work` is given if it ran to its end, so that the time tells how long such works
+        take.
+        """
+        if work is not None:
+            self.estimates.record_time(work, observed_ms)
         previous_ms = self.service_time_ms(service)
         self.service_times_ms[service] = previous_ms + SERVICE_TIME_SMOOTHING_FACTOR * (
             observed_ms - previous_ms
--- /dev/null
+++ b/brasstrail/coordination/waits_test.py
@@ -0,0 +1,151 @@
+"""Tests of the estimated waits, and of early refusals by them, under several loads."""
+
+import random
+import unittest
+
+from brasstrail.coordination import pool, pool_test, waits
+from brasstrail.emulator import engine, experiment, load
+
+CHAT_RANK, TOP_RANK = (2, 2), (2, 0)
+CHATS, URGENT = 2, 0
+SEEDS = (1,)
+
+
+def simulate(phases):
+    """Return the outcomes of a load for each seed."""
+    return [experiment.simulate_large(seed, phases) for seed in SEEDS]
+
+
+def held_ms(outcomes, kind):
+    """Return for how long refused requests of a kind were held on average."""
+    kinds = [outcome.kinds[kind] for outcome in outcomes]
+    refused = max(1, sum(each.refused for each in kinds))
+    return sum(each.mean_held_ms * each.refused for each in kinds) / refused
+
+
+class LoadTest(unittest.TestCase):
+    """What the emulator's requests get under the loads of docs/design/LOAD.md."""
+
+    def test_burst_of_lowest_kind_is_refused_early_and_harms_no_urgent_request(self):
+        """Guards against chats that are held, for 14.6 s before, and then refused."""
+        outcomes = simulate(load.LARGE_PHASES["burst of chats"])
+        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        for outcome in outcomes:
+            self.assertEqual(outcome.kinds[URGENT].refused, 0)
+            self.assertGreater(outcome.kinds[URGENT].utility_fraction, 0.95)
+
+    def test_burst_of_long_prompts_is_refused_early(self):
+        outcomes = simulate(load.LARGE_PHASES["burst of prompts"])
+        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        self.assertEqual(sum(each.kinds[URGENT].refused for each in outcomes), 0)
+
+    def test_nothing_is_refused_in_calm(self):
+        """Guards against refusals while servers have free places."""
+        for outcome in simulate(load.LARGE_PHASES["calm"]):
+            self.assertEqual([each.refused for each in outcome.kinds], [0, 0, 0])
+
+    def test_lowest_kind_is_not_starved(self):
+        """Guards against a kind that is served less than a quarter as often as all."""
+        for outcome in simulate((load.Phase(25_000, 1.5),)):
+            total = sum(each.request_count for each in outcome.kinds)
+            served = total - sum(each.refused for each in outcome.kinds)
+            chats = outcome.kinds[CHATS]
+            fraction = 1 - chats.refused / chats.request_count
+            self.assertGreater(fraction, 0.25 * served / total)
+
+    def test_predicted_waits_are_near_the_actual_ones(self):
+        """Guards against predictions that say nothing of what then happens."""
+        speed = engine.EngineSpeed(slots=load.LARGE_SLOTS, step_ms=load.LARGE_STEP_MS)
+        phases = load.LARGE_PHASES["burst of chats"]
+        simulation = experiment.Simulation(
+            random.Random(1), load.LARGE_KINDS, phases, pool.Pool, speed, True
+        )
+        simulation.run()
+        short, long = [], []
+        for result in simulation.results.values():
+            if result.dispatched_ms is not None:
+                waits_ms = short if result.predicted_wait_ms < 500 else long
+                waits_ms.append(result.dispatched_ms - result.attempted_ms)
+        self.assertLess(sorted(short)[int(0.95 * len(short))], 500)
+        self.assertGreater(sum(long) / len(long), 500)
+
+
+class RefusalTest(unittest.TestCase):
+    """Which of the waiting requests are refused."""
+
+    def make_full_pool(self, count, latest_ms):
+        """Return a pool with a full server and as many waiting chats."""
+        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
+            running = pool_test.make_work(f"r{number}", CHAT_RANK)
+            gateway_pool.add_running("a", running)
+        for number in range(count):
+            work = pool_test.make_work(str(number), CHAT_RANK, goal_ms=5000)
+            gateway_pool.record_arrival(work)
+            gateway_pool.enqueue(work, frozenset(), latest_ms)
+        return gateway_pool
+
+    def find_unserved(self, gateway_pool, ticks=waits.MIN_MISSES):
+        """Return the tickets found after some ticks."""
+        for _ in range(ticks):
+            unserved = gateway_pool.find_unserved(0)
+        return unserved
+
+    def test_last_ones_are_refused_and_only_those_that_do_not_fit(self):
+        gateway_pool = self.make_full_pool(40, latest_ms=200)
+        tickets = list(gateway_pool.waiting)
+        unserved = self.find_unserved(gateway_pool)
+        self.assertTrue(0 < len(unserved) < 40)
+        self.assertEqual(unserved, tickets[-len(unserved) :])
+
+    def test_single_tick_refuses_nothing(self):
+        gateway_pool = self.make_full_pool(40, latest_ms=200)
+        self.assertEqual(self.find_unserved(gateway_pool, 1), [])
+
+    def test_request_that_may_have_run_is_never_refused_early(self):
+        """Guards against a refusal that says falsely that nothing has run."""
+        gateway_pool = self.make_full_pool(40, latest_ms=None)
+        self.assertEqual(self.find_unserved(gateway_pool), [])
+
+    def test_plain_service_is_refused_by_its_own_time(self):
+        """Guards against estimates for short work that assume long answers."""
+        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        gateway_pool.configure(())
+        work = pool_test.make_work("w", tokens=0)
+        for _ in range(200):
+            gateway_pool.estimates.record_time(work, 90)
+        need_ms = gateway_pool.estimates.need(work).slot_ms
+        self.assertAlmostEqual(need_ms, 90, delta=10)
+
+
+class OtherGatewaysTest(unittest.TestCase):
+    """What other gateways tell, or do not."""
+
+    def wait_ms(self, *told, gateway_count=3):
+        """Return the estimate with one own request and what others have told."""
+        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        gateway_pool.gateway_count = gateway_count
+        for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
+            running = pool_test.make_work(f"r{number}", CHAT_RANK)
+            gateway_pool.add_running("a", running)
+        pool_test.enqueue_work(gateway_pool, pool_test.make_work("q", CHAT_RANK))
+        for number, rows in enumerate(told):
+            gateway_pool.update_load_shares(f"g{number}", {}, 0, rows)
+        work = pool_test.make_work("w", CHAT_RANK, goal_ms=9000)
+        return gateway_pool.expected_wait_ms(work, 0)
+
+    def test_queue_of_gateway_that_is_not_heard_is_taken_to_be_like_the_own(self):
+        own = {("llm", CHAT_RANK): waits.Row(queued=1)}
+        self.assertAlmostEqual(self.wait_ms(), self.wait_ms(own, own))
+        self.assertLess(self.wait_ms({}, {}), self.wait_ms())
+
+    def test_rows_of_a_gateway_are_forgotten_with_it(self):
+        estimates = waits.Estimates()
+        rows = {("llm", TOP_RANK): waits.Row(2, 1, waits.Need(3.0, 0.5))}
+        estimates.update("g", rows)
+        estimates.drop("g")
+        self.assertEqual(estimates.totals, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -32,6 +32,12 @@
 # region.
 NETWORK_DELAY_MS = {0: 0.4, 1: 1.4, 2: 30.0}
 SERVICE = "llm"
+# Callers that are refused lose nothing while they are held for up to this fraction of
+# their goal.
+FREE_HOLD_FRACTION = 1 / 8
+# Callers try once more if Retry-After is at most this fraction of the time they have
+# left.
+MAX_RETRY_WAIT_FRACTION = 1 / 3
 
 
 @dataclasses.dataclass
@@ -41,7 +47,9 @@
     Times are in milliseconds of virtual time; `dispatched_ms`, `first_event_ms` and
     `last_event_ms` are points in time at the gateway.
     `predicted_first_answer_ms` is the pool's prediction of the time from dispatch to
-    the first event.
+    the first event, `predicted_wait_ms` the one of the wait of the last attempt, which
+    began at `attempted_ms`. `held_ms` is how long attempts were held that ended
+    refused, and `attempts` how many were made.
     """
 
     arrival: load.Arrival
@@ -52,6 +60,10 @@
     longest_pause_ms: float = 0.0
     is_refused: bool = False
     is_complete: bool = False
+    predicted_wait_ms: float = 0.0
+    attempted_ms: float = 0.0
+    held_ms: float = 0.0
+    attempts: int = 0
 
     @property
     def utility(self):
@@ -67,7 +79,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class KindOutcome:
-    """Counts of the requests of a kind, and the fraction of their utility achieved."""
+    """Counts of the requests of a kind, and the fraction of their utility achieved.
+
+    `mean_held_ms` is how long refused requests were held on average, and `held_long`
+    how many of them were held for longer than `FREE_HOLD_FRACTION` of their goal.
+    `wait_error_ms` is the mean difference of the predicted and the actual wait of those
+    that were dispatched.
+    """
 
     name: str
     request_count: int
@@ -75,6 +93,9 @@
     late: int
     refused: int
     utility_fraction: float
+    mean_held_ms: float = 0.0
+    held_long: int = 0
+    wait_error_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -99,9 +120,16 @@
     rng : a `random.Random`, the source of all random draws.
     kinds, phases : the load.
     make_pool : returns the pool of a gateway, from its `settings.Node` and the regions.
+    speed : the `engine.EngineSpeed` of all engines but for their slowdown.
+    retries : whether refused callers try once more at another gateway.
     """
 
-    def __init__(self, rng, kinds, phases, make_pool):
+    def __init__(
+        self, rng, kinds, phases, make_pool, speed=engine.EngineSpeed(), retries=False
+    ):
+        self.rng = rng
+        self.speed = speed
+        self.retries = retries
         self.now_ms = 0.0
         self.event_numbers = itertools.count()
         self.events = []
@@ -133,7 +161,7 @@
         for number, slowdown in enumerate(ENGINE_SLOWDOWNS):
             identity = f"s{number}"
             data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            speed = engine.EngineSpeed(slowdown=slowdown)
+            speed = dataclasses.replace(self.speed, slowdown=slowdown)
             self.engines[identity] = engine.Engine(speed)
             self.engine_data_centres[identity] = data_centre
             announcement = servers.Announcement(
@@ -177,37 +205,61 @@
         now_ms = int(self.now_ms)
         gateway.record_arrival(work)
         service_ms = 30 + arrival.prompt_tokens / pool.DEFAULT_PREFILL_TOKENS_PER_MS
+        latest_ms = work.caller_deadline_ms - service_ms
         wait_ms = gateway.expected_wait_ms(work, now_ms)
-        if now_ms + wait_ms > work.caller_deadline_ms - service_ms:
-            self.results[arrival.identity].is_refused = True
+        result = self.results[arrival.identity]
+        result.arrival = arrival
+        result.attempts += 1
+        result.attempted_ms = self.now_ms
+        result.predicted_wait_ms = wait_ms
+        if now_ms + wait_ms > latest_ms:
+            self.refuse(arrival)
             return
-        ticket = gateway.enqueue(work, frozenset())
+        ticket = gateway.enqueue(work, frozenset(), latest_ms)
         self.arrivals_by_ticket[arrival.gateway, ticket] = arrival
-        self.schedule(
-            work.caller_deadline_ms - service_ms, self.refuse_expired, arrival, ticket
-        )
+        self.schedule(latest_ms, self.refuse_waiting, arrival, ticket)
         self.dispatch_requests(arrival.gateway)
 
     def make_work(self, arrival):
         """Return the `pool.Work` of a request."""
         kind = arrival.kind
+        result = self.results[arrival.identity]
+        arrived_ms = result.attempted_ms or arrival.at_ms
         return pool.Work(
             arrival.identity,
             SERVICE,
             (arrival.workspace_tier, kind.tier),
-            int(arrival.at_ms),
-            int(arrival.at_ms + kind.goal_ms),
+            int(arrived_ms),
+            int(arrived_ms + kind.goal_ms),
             int(arrival.at_ms + kind.deadline_ms),
             arrival.prompt_tokens,
             arrival.expected_output_tokens,
         )
 
-    def refuse_expired(self, arrival, ticket):
-        """Refuse a request that still waits at its latest useful start time."""
+    def refuse(self, arrival):
+        """Refuse an attempt; the caller may try once more at another gateway."""
+        result = self.results[arrival.identity]
+        result.held_ms += self.now_ms - result.attempted_ms
+        work = self.make_work(arrival)
+        gateway = self.gateways[arrival.gateway]
+        wait_ms = gateway.expected_wait_ms(work, int(self.now_ms))
+        wait_ms = min(5000.0, max(100.0, wait_ms)) * self.rng.uniform(1.0, 1.5)
+        left_ms = work.caller_deadline_ms - self.now_ms
+        if not self.retries or result.attempts > 1:
+            result.is_refused = True
+        elif wait_ms > MAX_RETRY_WAIT_FRACTION * left_ms:
+            result.is_refused = True
+        else:
+            number = self.rng.randrange(GATEWAY_COUNT)
+            again = dataclasses.replace(arrival, gateway=number)
+            self.schedule(self.now_ms + wait_ms, self.handle_arrival, again)
+
+    def refuse_waiting(self, arrival, ticket):
+        """Refuse a request if it still waits, as at its latest useful start time."""
         gateway = self.gateways[arrival.gateway]
         if ticket in gateway.waiting:
             gateway.remove_waiting(ticket)
-            self.results[arrival.identity].is_refused = True
+            self.refuse(arrival)
 
     def dispatch_requests(self, number):
         """Dispatch the waiting requests that the gateway's pool admits now."""
@@ -250,6 +302,7 @@
         """
         self.pending_load_share_sends.discard(number)
         shares = self.gateways[number].own_load_shares()
+        rows = self.gateways[number].own_rows(int(self.now_ms))
         own_region = self.gateways[number].node.region
         for other, gateway in enumerate(self.gateways):
             if other != number:
@@ -260,17 +313,22 @@
                     other,
                     number,
                     shares,
+                    rows,
                 )
 
-    def receive_load_shares(self, number, sender, shares):
-        """Apply the load shares of another gateway, then dispatch."""
-        self.gateways[number].update_load_shares(f"g{sender}", shares, int(self.now_ms))
+    def receive_load_shares(self, number, sender, shares, rows):
+        """Apply the load shares and rows of another gateway, then dispatch."""
+        gateway, now_ms = self.gateways[number], int(self.now_ms)
+        gateway.update_load_shares(f"g{sender}", shares, now_ms, rows)
         self.dispatch_requests(number)
 
     def tick(self):
         """Dispatch at every gateway; send all load shares every 20 ticks."""
         for number in range(GATEWAY_COUNT):
             self.dispatch_requests(number)
+            for ticket in self.gateways[number].find_unserved(int(self.now_ms)):
+                arrival = self.arrivals_by_ticket[number, ticket]
+                self.refuse_waiting(arrival, ticket)
             if int(self.now_ms / TICK_INTERVAL_MS) % 20 == 0:
                 self.send_load_shares(number)
         self.schedule(self.now_ms + TICK_INTERVAL_MS, self.tick)
@@ -328,7 +386,8 @@
             result.is_complete = True
             gateway.remove_running(identity, work)
             gateway.succeeded(identity)
-            gateway.record_service_time(SERVICE, self.now_ms - result.dispatched_ms)
+            held_ms = self.now_ms - result.dispatched_ms
+            gateway.record_service_time(SERVICE, held_ms, work)
             if token.number > 2 * arrival.kind.stride:
                 decode_ms = result.last_event_ms - result.first_event_ms
                 tokens = token.number - arrival.kind.stride
@@ -358,6 +417,12 @@
         refused = sum(result.is_refused for result in results)
         earned_utility = sum(result.utility for result in results)
         max_utility = max(1, len(results)) * kind.on_time_utility
+        held = [result.held_ms for result in results if result.is_refused]
+        errors_ms = [
+            abs(result.dispatched_ms - result.attempted_ms - result.predicted_wait_ms)
+            for result in results
+            if result.dispatched_ms is not None
+        ]
         return KindOutcome(
             kind.name,
             len(results),
@@ -365,6 +430,9 @@
             late,
             refused,
             earned_utility / max_utility,
+            sum(held) / max(1, len(held)),
+            sum(each > FREE_HOLD_FRACTION * kind.goal_ms for each in held),
+            sum(errors_ms) / max(1, len(errors_ms)),
         )
 
     def worst_windows_fraction(self):
@@ -386,3 +454,17 @@
     simulation = Simulation(random.Random(seed), kinds, phases, make_pool)
     simulation.run()
     return simulation.outcome()
+
+
+def simulate_large(seed, phases, make_pool=pool.Pool):
+    """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try once more."""
+    speed = engine.EngineSpeed(
+        slots=load.LARGE_SLOTS,
+        step_ms=load.LARGE_STEP_MS,
+        prefill_tokens_per_ms=load.LARGE_PREFILL_TOKENS_PER_MS,
+    )
+    simulation = Simulation(
+        random.Random(seed), load.LARGE_KINDS, phases, make_pool, speed, True
+    )
+    simulation.run()
+    return simulation.outcome()
--- a/brasstrail/emulator/load.py
+++ b/brasstrail/emulator/load.py
@@ -37,10 +37,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class Phase:
-    """A part of a simulation: its duration, and the factor applied to all rates."""
+    """A part of a simulation: its duration, and the factor applied to the rates.
+
+    The factor applies to the kinds named in `kinds`, or to all if that is empty; the
+    others keep their usual rate.
+    """
 
     duration_ms: float
     rate_factor: float
+    kinds: tuple[str, ...] = ()
+
+    def factor(self, kind):
+        """Return the factor of a kind's rate in this phase."""
+        is_affected = not self.kinds or kind.name in self.kinds
+        return self.rate_factor if is_affected else 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +84,7 @@
         start_ms = 0.0
         for phase in phases:
             end_ms = start_ms + phase.duration_ms
-            rate_per_ms = kind.rate_per_s * phase.rate_factor / 1000
+            rate_per_ms = kind.rate_per_s * phase.factor(kind) / 1000
             at_ms = start_ms + rng.expovariate(rate_per_ms)
             while at_ms < end_ms:
                 arrivals.append(make_arrival(rng, kind, at_ms, gateway_count))
@@ -114,3 +124,32 @@
     Phase(2500, 2.7),
     Phase(8000, 1.3),
 )
+
+# The engine traffic of deployment K in docs/design/LOAD.md at a quarter of its size:
+# five engines of seven slots, so that a run takes seconds.
+LARGE_SLOTS = 7
+LARGE_STEP_MS = 6.12
+LARGE_PREFILL_TOKENS_PER_MS = 32.4
+LARGE_KINDS = (
+    Kind("urgent", 0, 5.9, 2950, 0.8, 52, 0.9, 1035, 8300, 8.7, 4.2, 400),
+    Kind("check", 1, 13.6, 1860, 0.9, 24, 0.9, 1519, 4100, 1.1, 0.57, 400),
+    Kind("chat", 2, 8.8, 603, 0.8, 268, 0.9, 2015, 15100, 0.29, 0.14, 400),
+)
+# Bursts over a constant load, by the kinds that have them.
+LARGE_PHASES = {
+    "constant": (Phase(40_000, 1.0),),
+    "constant 1.3": (Phase(40_000, 1.3),),
+    "constant 1.8": (Phase(40_000, 1.8),),
+    "calm": (Phase(16_000, 0.4),),
+    "burst of chats": (
+        Phase(8000, 0.7),
+        Phase(6000, 2.5, ("chat",)),
+        Phase(20_000, 0.7),
+    ),
+    "burst of prompts": (
+        Phase(8000, 1.0),
+        Phase(5000, 2.5, ("urgent", "check")),
+        Phase(20_000, 1.0),
+    ),
+    "burst of all": (Phase(8000, 1.0), Phase(5000, 2.2), Phase(20_000, 1.0)),
+}
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -766,8 +766,12 @@
     four from `identities` on have a row for each server, the next two one for each
     workspace. `reads_columns` tells that the sender reads columns.
 
-    If it `tells_levels`, the last two columns hold what is left of the allotments that
+    If it `tells_levels`, the next two columns hold what is left of the allotments that
     are not full, and the spending is told, too.
+
+    If it `tells_waits`, the columns from `wait_services` on have a row for each rank of
+    a service, at most `waits.MAX_ROWS`: a `waits.Row`, whose demand is in `wait_places`
+    and `wait_prefill`.
     """
 
     name: str
@@ -788,6 +792,14 @@
     tells_levels: bool = False
     level_workspaces: tuple[str, ...] = ()
     levels: tuple[float, ...] = ()
+    tells_waits: bool = False
+    wait_services: tuple[str, ...] = ()
+    wait_tiers: tuple[int, ...] = ()
+    wait_route_tiers: tuple[int, ...] = ()
+    wait_queued: tuple[int, ...] = ()
+    wait_running: tuple[int, ...] = ()
+    wait_places: tuple[float, ...] = ()
+    wait_prefill: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -309,6 +309,14 @@
   tellsLevels @15 :Bool;
   levelWorkspaces @16 :List(Text);
   levels @17 :List(Float64);
+  tellsWaits @18 :Bool;
+  waitServices @19 :List(Text);
+  waitTiers @20 :List(Int64);
+  waitRouteTiers @21 :List(Int64);
+  waitQueued @22 :List(Int64);
+  waitRunning @23 :List(Int64);
+  waitPlaces @24 :List(Float64);
+  waitPrefill @25 :List(Float64);
 }
 
 struct StreamOrigins {
--- a/brasstrail/roles/columns.py
+++ b/brasstrail/roles/columns.py
@@ -3,9 +3,10 @@
 A state has both as records or as columns; see `messages.GatewayState`.
 """
 
+import itertools
 import math
 
-from brasstrail.coordination import allotments, pool
+from brasstrail.coordination import allotments, pool, waits
 from brasstrail.core import errors
 from brasstrail.protocol import messages
 
@@ -100,6 +101,48 @@
     return allotments.Report(spent, levels)
 
 
+def wait_fields(rows):
+    """Return the fields of a state for `waits.Row`s by service and rank."""
+    return {
+        "tells_waits": True,
+        "wait_services": tuple(service for service, _ in rows),
+        "wait_tiers": tuple(rank[0] for _, rank in rows),
+        "wait_route_tiers": tuple(rank[1] for _, rank in rows),
+        "wait_queued": tuple(row.queued for row in rows.values()),
+        "wait_running": tuple(row.running for row in rows.values()),
+        "wait_places": tuple(row.demand.slot_ms for row in rows.values()),
+        "wait_prefill": tuple(row.demand.prefill_ms for row in rows.values()),
+    }
+
+
+def read_waits(state):
+    """Return the `waits.Row`s of a `messages.GatewayState` by service and rank.
+
+    None if it is of a version that tells none. Raises `errors.BadRequest` if columns
+    differ in length, or hold what is no number.
+    """
+    if not state.tells_waits:
+        return None
+    columns = (
+        state.wait_services,
+        state.wait_tiers,
+        state.wait_route_tiers,
+        state.wait_queued,
+        state.wait_running,
+        state.wait_places,
+        state.wait_prefill,
+    )
+    check_lengths(state, *columns)
+    check_finite(state, (*state.wait_places, *state.wait_prefill))
+    rows = itertools.islice(zip(*columns, strict=True), waits.MAX_ROWS)
+    return {
+        (service, (tier, route_tier)): waits.Row(
+            queued, running, waits.Need(places, prefill)
+        )
+        for service, tier, route_tier, queued, running, places, prefill in rows
+    }
+
+
 def check_finite(state, amounts):
     """Raise `errors.BadRequest` if amounts of a state are no numbers."""
     if not all(map(math.isfinite, amounts)):
--- a/brasstrail/roles/columns_test.py
+++ b/brasstrail/roles/columns_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from brasstrail.coordination import pool
+from brasstrail.coordination import pool, waits
 from brasstrail.core import errors
 from brasstrail.fakes import memory
 from brasstrail.protocol import codec, messages
@@ -39,6 +39,18 @@
                     state = make_state(**columns.spending_fields(spent, as_columns))
                     self.assertEqual(columns.read_spending(transfer(state)), spent)
 
+    def test_waits_are_read_and_bounded(self):
+        rows = {("s", (1, 2)): waits.Row(3, 4, waits.Need(1.5, 0.25))}
+        for each in ({}, rows):
+            state = transfer(make_state(**columns.wait_fields(each)))
+            self.assertEqual(columns.read_waits(state), each)
+        self.assertIsNone(columns.read_waits(transfer(make_state())))
+        many = {("s", (1, number)): waits.Row() for number in range(100)}
+        state = transfer(make_state(**columns.wait_fields(many)))
+        self.assertEqual(len(columns.read_waits(state)), waits.MAX_ROWS)
+        with self.assertRaises(errors.BadRequest):
+            columns.read_waits(make_state(tells_waits=True, wait_services=("s",)))
+
     def test_columns_of_different_lengths_are_an_error(self):
         state = make_state(identities=("a", "b"), running=(1,), workspaces=("w",))
         for read in (columns.read_load, columns.read_spending):
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -58,6 +58,7 @@
     runs : how many servers may have run the request.
     attempts_made : how many times the request was sent to a server.
     waited_ms : the time spent waiting for the lease and for servers.
+    predicted_wait_ms : the estimate of the wait for a server when it last began.
     tried : the identities of the servers that were chosen, which are not chosen again.
     servers : the identities of the servers to which the request was sent, in order.
     reasons : the reason codes of failed attempts, for the log.
@@ -88,6 +89,7 @@
         self.attempts_made = 0
         self.runs = 0
         self.waited_ms = 0
+        self.predicted_wait_ms = 0.0
         self.tried = set()
         self.servers = []
         self.reasons = []
@@ -339,19 +341,26 @@
         latest_ms = self.latest_start_ms(work)
         if now_ms > gateway.shutdown.latest_start_ms(work):
             raise self.refusal("stopping", admitting.STOPPING_RETRY_S)
-        if not self.reply.head_sent and gateway.pool.has_servers(work):
-            if now_ms + gateway.pool.expected_wait_ms(work, now_ms) > latest_ms:
+        may_refuse = not self.reply.head_sent and not self.may_have_run
+        if may_refuse and gateway.pool.has_servers(work):
+            self.predicted_wait_ms = gateway.pool.expected_wait_ms(work, now_ms)
+            if now_ms + self.predicted_wait_ms > latest_ms:
                 rest_ms = gateway.pool.rest_wait_ms(work, now_ms)
                 reason = "servers_rest" if rest_ms else "overload"
                 raise self.refusal(reason, self.retry_after_s())
         place = await gateway.wait_for_server(
-            work, frozenset(self.tried), max(1, latest_ms - now_ms)
+            work, frozenset(self.tried), max(1, latest_ms - now_ms), may_refuse
         )
         if place is None and gateway.shutdown.is_begun:
             raise self.refusal("stopping", admitting.STOPPING_RETRY_S)
         if place is None:
             raise self.refusal("no_room", self.retry_after_s())
-        self.waited_ms += clock.now_ms() - now_ms
+        waited_ms = clock.now_ms() - now_ms
+        self.waited_ms += waited_ms
+        if may_refuse:
+            error_s = abs(waited_ms - self.predicted_wait_ms) / 1000
+            tier = self.admitted.rank[0]
+            gateway.metrics.record("gateway_wait_error_ms", error_s, tier=tier)
         return place
 
     def record_choice(self, choice):
@@ -584,6 +593,7 @@
             versions=",".join(self.versions),
             resumes=self.call.resumes if self.call else "",
             resume_after=self.call.resume_after if self.call else "",
+            predicted_wait_ms=round(self.predicted_wait_ms),
             waited_ms=self.waited_ms,
             first_ms=self.time_to_first_event_ms(),
             longest_pause_ms=self.reply.longest_pause_ms,
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -399,7 +399,8 @@
         now_ms = clock.now_ms()
         shares = columns.read_load(message)
         report = columns.read_report(message)
-        self.pool.update_load_shares(message.name, shares, now_ms)
+        rows = columns.read_waits(message)
+        self.pool.update_load_shares(message.name, shares, now_ms, rows)
         self.allotments.record_report(message.name, message.incarnation, report, now_ms)
         self.crashes.merge(message.name, message.crashes)
         self.limits.apply_reports(message.name, message.limits)
@@ -433,6 +434,7 @@
             **columns.load_fields(self.pool.own_load_shares(), as_columns),
             **columns.spending_fields(report.spent or {}, as_columns),
             **columns.level_fields(report.levels),
+            **columns.wait_fields(self.pool.own_rows(clock.now_ms())),
         )
 
     def record_departure(self, start, source, heard_ms):
@@ -499,9 +501,14 @@
             )
             request.connection.close()
 
-    async def wait_for_server(self, work, tried, timeout_ms):
-        """Return a request's `places.Place` at a server, or None after `timeout_ms`."""
-        ticket = self.pool.enqueue(work, tried)
+    async def wait_for_server(self, work, tried, timeout_ms, may_refuse=False):
+        """Return a request's `places.Place` at a server, or None after `timeout_ms`.
+
+        If it `may_refuse`, None is returned earlier once it is clear that no server
+        will have capacity in time.
+        """
+        latest_ms = clock.now_ms() + timeout_ms if may_refuse else None
+        ticket = self.pool.enqueue(work, tried, latest_ms)
         waiter = self.hub.loop.create_future()
         self.waiters[ticket] = work, waiter
         expiry = self.hub.loop.call_later(
@@ -539,6 +546,12 @@
         if wants:
             self.limits.ask(wants)
 
+    def refuse_unserved(self):
+        """End the waits of requests that no server will have capacity for in time."""
+        for ticket in self.pool.find_unserved(clock.now_ms()):
+            _, waiter = self.waiters[ticket]
+            self.expire_wait(ticket, waiter)
+
     def drop_abandoned_waits(self):
         """Remove the requests from the queue whose tasks were cancelled.
 
@@ -576,6 +589,7 @@
         self.pauses.record_tick(now_ms)
         run = self.hub.run_callback
         run(self.dispatch_waiting)
+        run(self.refuse_unserved)
         run(self.gossip.tick)
         run(self.crashes.tick, now_ms)
         run(self.origins.tick, now_ms)
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -1,6 +1,7 @@
 """Definitions of all metrics: their names, kinds, units, labels and help texts.
 
-In the export a counter's name ends in `_total` and a histogram's in `_seconds`.
+In the export a counter's name ends in `_total` and a histogram's in `_seconds`, unless
+it is one of milliseconds, whose name ends in `_ms`.
 `metrics.Metrics` rejects metrics that are not defined here, and the page
 `docs/METRICS.md` is generated from this list.
 """
@@ -30,6 +31,8 @@
     @property
     def exported_name(self):
         """The metric's name in the export, without the product's prefix."""
+        if self.name.endswith("_ms"):
+            return self.name
         endings = {Kind.COUNTER: "_total", Kind.HISTOGRAM: "_seconds", Kind.GAUGE: ""}
         return self.name + endings[self.kind]
 
@@ -86,6 +89,13 @@
     counter("gateway_requests", "requests", "Requests that ended.", "outcome", "tier"),
     latency("gateway_request", "Arrival to the end of a request.", "tier"),
     latency("gateway_wait", "Arrival to the binding to a server.", "tier"),
+    Measure(
+        "gateway_wait_error_ms",
+        Kind.HISTOGRAM,
+        "ms",
+        "Difference of the predicted and the actual wait for a server.",
+        ("tier",),
+    ),
     latency("gateway_first_event", "Arrival to a stream's first event.", "tier"),
     counter("gateway_refusals", "requests", "Refusals by their reason.", "reason"),
     counter("gateway_sendings", "sendings", "Requests sent to servers."),
--- a/brasstrail/roles/metrics.py
+++ b/brasstrail/roles/metrics.py
@@ -16,6 +16,8 @@
 QUANTILES = (50, 95, 99)
 PREFIX = "brasstrail"
 US_PER_SECOND = 1_000_000
+# Microseconds in the unit of a histogram.
+UNITS_US = {"seconds": US_PER_SECOND, "ms": 1000}
 
 
 class UnknownMetric(Exception):
@@ -86,7 +88,8 @@
                 yield f"{metric_name}{label_text(labels)} {value}"
         for (name, labels), latencies in sorted(self.histograms.items()):
             if name == measure.name:
-                yield from histogram_lines(metric_name, labels, latencies)
+                unit_us = UNITS_US[measure.unit]
+                yield from histogram_lines(metric_name, labels, latencies, unit_us)
 
 
 def check_measure(name, kind, labels):
@@ -98,12 +101,12 @@
         raise UnknownMetric(f"{name} must have the labels {measure.labels}.")
 
 
-def histogram_lines(metric_name, labels, latencies):
-    """Yield the lines of one histogram: its quantiles in seconds and its count."""
+def histogram_lines(metric_name, labels, latencies, unit_us):
+    """Yield the lines of one histogram: its quantiles in its unit and its count."""
     for quantile in QUANTILES:
         text = label_text((*labels, ("quantile", f"{quantile / 100:g}")))
-        seconds = latencies.get_value_at_percentile(quantile) / US_PER_SECOND
-        yield f"{metric_name}{text} {seconds:.6f}"
+        value = latencies.get_value_at_percentile(quantile) / unit_us
+        yield f"{metric_name}{text} {value:.6f}"
     yield f"{metric_name}_count{label_text(labels)} {latencies.get_total_count()}"
 
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -104,7 +104,8 @@
     def record_service_time(self, started_ms):
         """Record how long the request has occupied the server."""
         held_ms = clock.now_ms() - started_ms
-        self.gateway.pool.record_service_time(self.work.service, held_ms)
+        work = self.work if self.is_complete and self.is_success() else None
+        self.gateway.pool.record_service_time(self.work.service, held_ms, work)
 
     def end_tracking(self):
         """Give up the tracked run, unless its end is known, and end its trials.
