--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -773,6 +773,10 @@
     sender has read in an answer within a second: the server and its start, its running
     and waiting requests and its slots, its host factor in percent, and how old the
     report is. They are sent to gateways that read columns only.
+
+    If it `tells_waits`, the columns from `wait_services` on have a row for each rank of
+    a service, at most `waits.MAX_ROWS`: a `waits.Row`, whose demand is in `wait_places`
+    and `wait_prefill`.
     """
 
     name: str
@@ -800,6 +804,14 @@
     report_slots: tuple[int, ...] = ()
     report_host_percents: tuple[int, ...] = ()
     report_ages_ms: tuple[int, ...] = ()
+    tells_waits: bool = False
+    wait_services: tuple[str, ...] = ()
+    wait_tiers: tuple[int, ...] = ()
+    wait_route_tiers: tuple[int, ...] = ()
+    wait_queued: tuple[int, ...] = ()
+    wait_running: tuple[int, ...] = ()
+    wait_places: tuple[float, ...] = ()
+    wait_prefill: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -316,6 +316,14 @@
   reportSlots @22 :List(Int64);
   reportHostPercents @23 :List(Int64);
   reportAgesMs @24 :List(Int64);
+  tellsWaits @25 :Bool;
+  waitServices @26 :List(Text);
+  waitTiers @27 :List(Int64);
+  waitRouteTiers @28 :List(Int64);
+  waitQueued @29 :List(Int64);
+  waitRunning @30 :List(Int64);
+  waitPlaces @31 :List(Float64);
+  waitPrefill @32 :List(Float64);
 }
 
 struct StreamOrigins {
