Add brasstrail explain for requests that were not sent

Cause: operators could only read from logs where a request went, and not where one would go now, or why it would be refused.

Change: POST /explain on a gateway's metrics port answers with the route, the rank, the standing of the workspace, and for each service of the route the decision, the servers with score, distance and load, or the refusal with its status, reason and Retry-After. The decision is that of the code that serves requests, on copies of what it would change: wants, shares of ranks, shares that leave, buckets.

--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -11,6 +11,7 @@
 import sys
 
 import click
+import orjson
 from tornado import httpclient, httpserver, httputil
 
 import brasstrail
@@ -24,6 +25,10 @@
 MAX_ADMIN_BODY_BYTES = 8 * 1024 * 1024
 MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
 METRICS_PATH = "/metrics"
+EXPLAIN_PATH = "/explain"
+JSON_TYPE = "application/json"
+# Questions are limited to 16 KB; the rest leaves room to answer one that is too long.
+MAX_METRICS_BODY_BYTES = 64 * 1024
 METRICS_TYPE = "text/plain; version=0.0.4"
 
 
@@ -118,17 +123,39 @@
 
     def serve_metrics(self):
         """Start the HTTP server for metrics."""
-        server = httpserver.HTTPServer(self.answer_metrics)
+        server = httpserver.HTTPServer(
+            self.answer_metrics, max_body_size=MAX_METRICS_BODY_BYTES
+        )
         server.listen(self.settings.metrics.port, self.settings.node.address)
         self.stack.callback(server.stop)
 
     def answer_metrics(self, request):
-        """Answer a request for metrics with text; answer 404 for other paths."""
+        """Answer a request for metrics with text; answer 404 for unknown paths."""
+        if request.path == EXPLAIN_PATH and self.gateway is not None:
+            self.send(request, *self.explain(request), JSON_TYPE)
+            return
         is_known = request.path == METRICS_PATH
         status = 200 if is_known else 404
         body = self.metrics.render().encode() if is_known else b""
+        self.send(request, status, body, METRICS_TYPE)
+
+    def explain(self, request):
+        """Return status and body of the answer to a question about a request."""
+        explaining = load_role("explaining")
+        try:
+            if request.method != "POST":
+                raise errors.BadRequest(
+                    "The question has no body.", "Send a POST with a JSON object."
+                )
+            question = explaining.read_question(request.body)
+            return 200, orjson.dumps(explaining.explain(self.gateway, question))
+        except errors.BrasstrailError as error:
+            return error.status, orjson.dumps(error.to_json())
+
+    def send(self, request, status, body, content_type):
+        """Send a complete answer."""
         headers = httputil.HTTPHeaders(
-            {"Content-Type": METRICS_TYPE, "Content-Length": str(len(body))}
+            {"Content-Type": content_type, "Content-Length": str(len(body))}
         )
         start_line = httputil.ResponseStartLine("", status, httputil.responses[status])
         request.connection.write_headers(start_line, headers, body)
--- a/brasstrail/tools/cli.py
+++ b/brasstrail/tools/cli.py
@@ -5,6 +5,7 @@
 printed on standard error with their code and remedy; the exit status is then 1.
 """
 
+import dataclasses
 import secrets
 import sys
 
@@ -15,7 +16,7 @@
 import brasstrail
 from brasstrail.core import errors
 from brasstrail.roles import access
-from brasstrail.tools import client, datafolder, logreader
+from brasstrail.tools import client, datafolder, explanations, logreader
 from brasstrail.tools import report as reporting
 
 JSON_OPTIONS = orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
@@ -58,6 +59,21 @@
             self.endpoints, f"{self.endpoints.entry_url}/admin/v1{path}", body
         )
 
+    def ask_gateway(self, url, question):
+        """Send a question to a gateway's metrics port and return its JSON.
+
+        The operator token is not sent: that port asks for none.
+        """
+        endpoints = dataclasses.replace(self.endpoints, token="")
+        return client.call(endpoints, f"{url.rstrip('/')}/explain", question)
+
+    def print_lines(self, reply, lines):
+        """Print the whole reply as JSON, or some lines of text."""
+        if self.as_json:
+            click.echo(orjson.dumps(reply, option=JSON_OPTIONS))
+            return
+        click.echo("\n".join(lines))
+
     def print_reply(self, reply, rows, columns):
         """Print the whole reply as JSON, or `rows` as a table with `columns`."""
         if self.as_json:
@@ -157,10 +173,32 @@
 
 
 @main.command()
-@click.argument("request")
+@click.argument("request", required=False)
+@click.option("--gateway", help="Base URL of a gateway's metrics port.")
+@click.option("--host", help="Host of the request that is asked about.")
+@click.option("--path", help="Path of the request that is asked about.")
+@click.option("--method", default="POST", help="Its method.", show_default=True)
+@click.option("--key", default="", help="Its API key.")
+@click.option("--workspace", default="", help="Its workspace, instead of a key.")
+@click.option("--input-tokens", default=0, help="Size of its prompt.")
+@click.option("--max-output-tokens", default=0, help="Largest size of its output.")
+@click.option("--body-bytes", default=0, help="Size of its body.")
+@click.option("--deadline-ms", default=0, help="How long its caller waits.")
 @click.pass_obj
-def explain(session, request):
-    """Show the decisions of the entry on a REQUEST, with reasons."""
+def explain(session, request, gateway, **question):
+    """Show the decisions of the entry on a REQUEST, with reasons.
+
+    With --gateway, --host and --path instead, show where such a request would go from
+    that gateway now and why. Nothing is sent, charged or queued.
+    """
+    if gateway is not None:
+        if request is not None or not (question["host"] and question["path"]):
+            raise click.UsageError("With --gateway, specify --host and --path only.")
+        reply = session.ask_gateway(gateway, question)
+        session.print_lines(reply, explanations.lines(reply))
+        return
+    if request is None:
+        raise click.UsageError("Specify a REQUEST, or --gateway, --host and --path.")
     reply = session.call_entry(f"/decisions?request={request}")
     columns = ["request_id", "decision", "agent", "reason"]
     session.print_reply(reply, reply["decisions"], columns)
--- a/brasstrail/tools/client.py
+++ b/brasstrail/tools/client.py
@@ -82,5 +82,5 @@
     """Return the error for an address from which no response was received."""
     return Unreachable(
         f"No response from {url}: {error}.",
-        "Check --control and --entry, and that the process is running.",
+        "Check --control, --entry or --gateway, and that the process is running.",
     )
