--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -58,7 +58,11 @@
         speed = engine.EngineSpeed(slots=load.LARGE_SLOTS, step_ms=load.LARGE_STEP_MS)
         phases = load.LARGE_PHASES["burst of chats"]
         simulation = experiment.Simulation(
-            random.Random(1), load.LARGE_KINDS, phases, pool.Pool, speed, True
+            random.Random(1),
+            load.LARGE_KINDS,
+            phases,
+            pool.Pool,
+            experiment.Setup(speed=speed, retries=True),
         )
         simulation.run()
         short, long = [], []
