Move services to another version by roll-outs that are judged and reverted

Operators start servers of a new version beside the old ones; a version that fails or is slow must get few requests, and old servers must be free of requests when they are stopped.

Gateways get the records before the confirmation of their lease, draw for each request whether it uses the new version within their own counts, and report what became of it (roles/canary.py, coordination/canaries.py). The leader compares both versions by route and commits the steps (roles/rollouts.py, coordination/rollouts.py). Operators order and read over /v1/rollouts; `brasstrail state` shows the state and its reason. Without an order gateways are sent nothing and send nothing.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -78,7 +78,8 @@
     of a successful answer. `caller_deadline_ms` is when the caller stops waiting.
     `output_tokens` is the expected length of the answer. `software` limits the work to
     servers with this `servers.Announcement.software`: None to none, and an empty string
-    to no server at all.
+    to no server at all. `rule` is the `canaries.VersionRule` of a service that has had
+    a roll-out, or None.
     """
 
     identity: str
@@ -91,13 +92,16 @@
     output_tokens: int = 0
     parts: tuple = ()
     software: str | None = None
+    rule: object = None
 
     def may_run_on(self, server):
-        """Return whether a server is of the work's service and software."""
+        """Return whether a server is of the work's service, software and version."""
         announcement = server.announcement
-        return announcement.service == self.service and (
-            self.software is None or announcement.software == self.software
-        )
+        if announcement.service != self.service:
+            return False
+        if self.software is not None and announcement.software != self.software:
+            return False
+        return self.rule is None or self.rule.permits(announcement)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -219,8 +223,8 @@
 
     Attributes
     ----------
-    loads : (capacity, running requests) of the usable servers, by the service and the
-        software that works are limited to.
+    loads : (a work, capacity, running requests) of the usable servers, by the service,
+        software and version rule that works are limited to.
     """
 
     def __init__(self, server_pool, now_ms):
@@ -249,20 +253,18 @@
 
     def load(self, work):
         """Return what `Pool.usable_capacity` does for a work."""
-        key = work.service, work.software
+        key = work.service, work.software, work.rule
         if key not in self.loads:
-            self.loads[key] = self.pool.sum_capacity(work, self.accepting)
-        return self.loads[key]
+            capacity, running = self.pool.sum_capacity(work, self.accepting)
+            self.loads[key] = work, capacity, running
+        return self.loads[key][1:]
 
     def record_start(self, identity):
         """Take note that a work was dispatched to a server."""
         server = self.servers[identity]
-        for (service, software), (capacity, running) in list(self.loads.items()):
-            announcement = server.announcement
-            if service == announcement.service and (
-                software is None or software == announcement.software
-            ):
-                self.loads[service, software] = capacity, running + 1
+        for key, (work, capacity, running) in list(self.loads.items()):
+            if work.may_run_on(server):
+                self.loads[key] = work, capacity, running + 1
         if not self.pool.has_capacity(server, self.now_ms):
             del self.servers[identity]
 
@@ -720,8 +722,8 @@
 
         Dispatched work leaves the queue and counts as running on the chosen server.
         When a request without earlier attempts finds no server, all further requests
-        of its service, rank and software keep waiting. Requests that their rank is owed
-        go first, and may use the capacity that is reserved for higher ranks.
+        of its service, rank, software and rule keep waiting. Requests that their rank
+        is owed go first, and may use the capacity that is reserved for higher ranks.
         """
         dispatches = []
         blocked = {}
@@ -730,7 +732,7 @@
         owed, others = self.split_owed(waiting)
         owed_tickets = {ticket for ticket, _ in owed}
         for ticket, (work, tried) in (*owed, *others):
-            group = work.service, work.rank, work.software
+            group = work.service, work.rank, work.software, work.rule
             if group in blocked:
                 self.add_wants(blocked[group], work.rank)
                 continue
@@ -848,6 +850,9 @@
 
     def compete(self, work, other):
         """Return whether a server may run either of two works of a service."""
+        if work.rule is not None and other.rule is not None:
+            if work.rule.excludes_servers_of(other.rule):
+                return False
         is_bound = work.software is not None and other.software is not None
         return not is_bound or work.software == other.software
 
--- a/brasstrail/core/errors.py
+++ b/brasstrail/core/errors.py
@@ -178,6 +178,13 @@
     code, status = "version_conflict", 409
 
 
+@register
+class RolloutInProgress(BrasstrailError):
+    """Another roll-out of the service is in progress."""
+
+    code, status = "rollout_in_progress", 409
+
+
 @register
 class InvalidChange(BrasstrailError):
     """A configuration change is not valid."""
--- a/brasstrail/fakes/fleet.py
+++ b/brasstrail/fakes/fleet.py
@@ -260,6 +260,8 @@
         if ending:
             self.server.write_record("ended", id=self.identity, how=ending)
             await ENDINGS[ending](self, count)
+        if random.random() < self.server.options["failure_fraction"]:
+            return self.fail(500, b"a fault of this version")
         failure = self.server.draw_failure(after)
         if failure is not None:
             return self.fail(*failure)
@@ -490,6 +492,7 @@
 @click.option("--service", required=True)
 @click.option("--zone", default="dc-1")
 @click.option("--version", default="v1", help="The version of its software.")
+@click.option("--failure-fraction", default=0.0, help="Part of answers that fail.")
 @click.option("--slots", type=int, default=6)
 @click.option("--journal", required=True, help="File that lists executions.")
 @click.option("--keep-identity", is_flag=True, help="Each start has the same identity.")
--- a/brasstrail/platform/documents.py
+++ b/brasstrail/platform/documents.py
@@ -127,6 +127,11 @@
         return route
 
 
+def service_names(body):
+    """Return the names of the services in a document that was decoded before."""
+    return {each["name"] for each in orjson.loads(body)["services"]}
+
+
 def decode(body):
     """Return the catalog in a document; raise `errors.InvalidChange` if invalid."""
     return Decoder().decode(body)
--- a/brasstrail/platform/operators.py
+++ b/brasstrail/platform/operators.py
@@ -9,9 +9,13 @@
 import orjson
 from tornado import web
 
-from brasstrail.core import errors
+from brasstrail.core import bounds, errors
 from brasstrail.platform import announcements, documents
 
+# An order lasts for a week at most: a longer one is taken for a wrong unit.
+MAX_DURATION_S = 7 * 24 * 3600
+ORDER_REMEDY = "Name the service, the version to move to and the seconds."
+
 
 class JsonHandler(web.RequestHandler):
     """Base class of the handlers: sends JSON answers and typed errors.
@@ -112,6 +116,60 @@
         self.send_json(200, b"{}")
 
 
+class RolloutOrderHandler(JsonHandler):
+    """Takes the orders of roll-outs."""
+
+    async def post(self):
+        """Commit an order; an empty object says that it is in the replicated log."""
+        try:
+            service, to, duration_ms = decode_order(self.request.body)
+            body = await self.publisher.read_document()
+            if body is None or service not in documents.service_names(body):
+                raise errors.NotFound(
+                    f"There is no service {service!r}.", "Name one of the document."
+                )
+            await self.publisher.rollouts.order(service, to, duration_ms)
+        except errors.BrasstrailError as error:
+            self.send_typed_error(error)
+            return
+        self.send_json(200, b"{}")
+
+
+class RolloutHandler(JsonHandler):
+    """Tells how far the roll-out of a service is."""
+
+    async def get(self, service):
+        """Send the state of the latest roll-out."""
+        try:
+            rollout = await self.publisher.rollouts.read(service)
+        except errors.BrasstrailError as error:
+            self.send_typed_error(error)
+            return
+        self.send_json(200, orjson.dumps({"state": rollout.state, "to": rollout.to}))
+
+
+def decode_order(body):
+    """Return the service, the version and the duration in ms of an order.
+
+    Raises `errors.BadRequest` if it is not valid.
+    """
+    try:
+        order = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise errors.BadRequest(f"It is not JSON: {error}.", ORDER_REMEDY) from error
+    if not isinstance(order, dict):
+        raise errors.BadRequest("The order is no object.", ORDER_REMEDY)
+    service, to = order.get("service"), order.get("to")
+    for name, text in (("service", service), ("to", to)):
+        if not isinstance(text, str):
+            raise errors.BadRequest(f"{name} is no word.", ORDER_REMEDY)
+        bounds.check_name(name, text)
+    duration_s = order.get("duration_s")
+    if type(duration_s) not in (int, float) or not 0 < duration_s <= MAX_DURATION_S:
+        raise errors.BadRequest("duration_s is no time above 0.", ORDER_REMEDY)
+    return service, to, max(1, round(1000 * duration_s))
+
+
 async def run_in_steps(steps):
     """Run a generator and return its result; other tasks run between two steps."""
     while True:
@@ -132,6 +190,8 @@
             {**handler_arguments, "decoder": documents.Decoder()},
         ),
         (r"/v1/instances/([^/]+)", ServerAnnouncementHandler, handler_arguments),
+        (r"/v1/rollouts", RolloutOrderHandler, handler_arguments),
+        (r"/v1/rollouts/([^/]+)", RolloutHandler, handler_arguments),
     ]
     return web.Application(routes, log_function=skip_request_log)
 
--- a/brasstrail/protocol/commands.py
+++ b/brasstrail/protocol/commands.py
@@ -162,6 +162,38 @@
     packed: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class StartRollout:
+    """Begin to move a service's traffic to the version `to`.
+
+    `now_ms` is the leader's wall-clock time at the proposal, from which the deadline
+    counts.
+    """
+
+    now_ms: int
+    service: str
+    to: str
+    duration_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AdvanceRollout:
+    """Make the next step of a roll-out, which may be its end.
+
+    It applies only to the order of `ordered_ms`, and only if the last change of its
+    record was the log entry `expected_index`.
+    """
+
+    now_ms: int
+    service: str
+    ordered_ms: int
+    expected_index: int
+    state: str
+    stage: int
+    share: float
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True)
 class ConfigResult:
     """The result of `ChangeConfig`.
@@ -216,6 +248,8 @@
     LiftSuspicion,
     FoundCluster,
     ReplaceDocument,
+    StartRollout,
+    AdvanceRollout,
 )
 
 RESULTS = (ConfigResult, ExecutionResult, Plain)
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -829,6 +829,91 @@
     origins: tuple[StreamOrigin, ...]
 
 
+@dataclasses.dataclass(frozen=True)
+class Rollout:
+    """The latest roll-out of a service, as it is stored and sent to gateways.
+
+    Times are those of the leader's wall clock, in milliseconds. `state` is a
+    `rolloutstates.RolloutState`. `share` is the part of the requests that the version
+    `to` may get; it is 1.0 once all new requests go to it. `reason` states why the last
+    step was made. `base_version` is the version that an earlier roll-out completed at
+    `base_ms`, and `reverted` are the versions that earlier ones have reverted.
+    `index` is the log entry of the last change.
+    """
+
+    service: str
+    to: str
+    duration_ms: int
+    ordered_ms: int
+    deadline_ms: int
+    state: str
+    stage: int
+    share: float
+    reason: str
+    decided_ms: int
+    base_version: str
+    base_ms: int
+    reverted: tuple[str, ...]
+    index: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Rollouts:
+    """The roll-outs of all services after the log entry `index`."""
+
+    index: int
+    rollouts: tuple[Rollout, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutProgress:
+    """How far a gateway is with an order, which `ordered_ms` identifies.
+
+    `running_old` counts the requests that the gateway runs on servers of other versions
+    than the new one, and `requests` all that have reached it for the service.
+    """
+
+    service: str
+    ordered_ms: int
+    running_old: int
+    requests: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteOutcomes:
+    """What became of a route's requests at the new version, or at all others.
+
+    All are counts since the gateway has known the order. `cuts` are the answers that
+    broke off, and `failures` the other failures. `first_times` and `paces` are the
+    histograms of `canaries.time_bucket`, of the time to the first answer and of the
+    time for each later event: the number of each bucket that is not empty, and its
+    count.
+    """
+
+    service: str
+    route: str
+    is_new: bool
+    answers: int
+    failures: int
+    cuts: int
+    first_times: tuple[int, ...]
+    paces: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutOutcomes:
+    """A gateway's outcomes of the roll-outs in progress, for the leader.
+
+    The gateway applies the records of the log entry `index`.
+    """
+
+    gateway: str
+    incarnation: int
+    index: int
+    progress: tuple[RolloutProgress, ...]
+    routes: tuple[RouteOutcomes, ...]
+
+
 MESSAGES = (
     Offer,
     Withdraw,
@@ -883,6 +968,8 @@
     PermitQuestion,
     PermitGrant,
     PermitReturn,
+    Rollouts,
+    RolloutOutcomes,
 )
 
 HANDSHAKE_MESSAGES = (Challenge, Hello, Welcome)
--- a/brasstrail/protocol/snapshots.py
+++ b/brasstrail/protocol/snapshots.py
@@ -44,6 +44,7 @@
     document_version: int = 0
     document: bytes = b""
     retirements: tuple[Retirement, ...] = ()
+    rollouts: tuple[messages.Rollout, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -365,6 +365,19 @@
   bornMs @1 :Int64;
 }
 
+struct Rollouts {
+  index @0 :Int64;
+  rollouts @1 :List(Rollout);
+}
+
+struct RolloutOutcomes {
+  gateway @0 :Text;
+  incarnation @1 :Int64;
+  index @2 :Int64;
+  progress @3 :List(RolloutProgress);
+  routes @4 :List(RouteOutcomes);
+}
+
 struct Challenge {
   version @0 :Int64;
   nonce @1 :Data;
@@ -481,6 +494,24 @@
   packed @1 :Data;
 }
 
+struct StartRollout {
+  nowMs @0 :Int64;
+  service @1 :Text;
+  to @2 :Text;
+  durationMs @3 :Int64;
+}
+
+struct AdvanceRollout {
+  nowMs @0 :Int64;
+  service @1 :Text;
+  orderedMs @2 :Int64;
+  expectedIndex @3 :Int64;
+  state @4 :Text;
+  stage @5 :Int64;
+  share @6 :Float64;
+  reason @7 :Text;
+}
+
 struct ConfigResult {
   applied @0 :Bool;
   version @1 :Int64;
@@ -515,6 +546,7 @@
   documentVersion @10 :Int64;
   document @11 :Data;
   retirements @12 :List(Retirement);
+  rollouts @13 :List(Rollout);
 }
 
 struct Identity {
@@ -689,6 +721,41 @@
   ageMs @1 :Int64;
 }
 
+struct Rollout {
+  service @0 :Text;
+  to @1 :Text;
+  durationMs @2 :Int64;
+  orderedMs @3 :Int64;
+  deadlineMs @4 :Int64;
+  state @5 :Text;
+  stage @6 :Int64;
+  share @7 :Float64;
+  reason @8 :Text;
+  decidedMs @9 :Int64;
+  baseVersion @10 :Text;
+  baseMs @11 :Int64;
+  reverted @12 :List(Text);
+  index @13 :Int64;
+}
+
+struct RolloutProgress {
+  service @0 :Text;
+  orderedMs @1 :Int64;
+  runningOld @2 :Int64;
+  requests @3 :Int64;
+}
+
+struct RouteOutcomes {
+  service @0 :Text;
+  route @1 :Text;
+  isNew @2 :Bool;
+  answers @3 :Int64;
+  failures @4 :Int64;
+  cuts @5 :Int64;
+  firstTimes @6 :List(Int64);
+  paces @7 :List(Int64);
+}
+
 struct Service {
   name @0 :Text;
   kind @1 :Text;
@@ -791,6 +858,8 @@
     permitQuestion @50 :PermitQuestion;
     permitGrant @51 :PermitGrant;
     permitReturn @52 :PermitReturn;
+    rollouts @53 :Rollouts;
+    rolloutOutcomes @54 :RolloutOutcomes;
   }
 }
 
@@ -818,6 +887,8 @@
     liftSuspicion @11 :LiftSuspicion;
     foundCluster @12 :FoundCluster;
     replaceDocument @13 :ReplaceDocument;
+    startRollout @14 :StartRollout;
+    advanceRollout @15 :AdvanceRollout;
   }
 }
 
--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -250,7 +250,7 @@
         would fail, also after a restart.
         """
         try:
-            codec.decode(codec.COMMAND, propose.command)
+            command = codec.decode(codec.COMMAND, propose.command)
         except errors.BadRequest as error:
             self.log.error(
                 "control: A proposal was refused.", peer=link.name, reason=str(error)
@@ -267,7 +267,12 @@
                 messages.Outcome(propose.proposal_id, outcome.committed, outcome.result)
             )
 
-        self.submit(propose.command, answer)
+        payload = propose.command
+        if isinstance(command, commands.StartRollout) and self.replication.is_leader:
+            # The deadline counts on the clock of the leader, which also applies it.
+            stamped = dataclasses.replace(command, now_ms=clock.wall_ms())
+            payload = codec.encode(codec.COMMAND, stamped)
+        self.submit(payload, answer)
 
     def ledger_full_result(self, payload):
         """Return the encoded `LedgerFull` result for a new key beyond `max_keys`.
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -70,6 +70,10 @@
     has_begun : whether an event has been passed on.
     is_shut_down : whether the gateway ends the request because its process stops.
     outcome : how the request ended, for the log.
+    rollout_ms : the order of the roll-out that the request was last counted for, or
+        None.
+    uses_new_version : whether the request was drawn to go to the version of that
+        roll-out; None before.
     retry_charged_ms : when the retry budget was charged for a sending that has not been
         made yet, or None.
     """
@@ -99,6 +103,8 @@
         self.is_shut_down = False
         self.outcome = ""
         self.retry_charged_ms = None
+        self.rollout_ms = None
+        self.uses_new_version = None
 
     @property
     def identity(self):
@@ -235,6 +241,12 @@
 
     def work(self):
         """Return the request's `pool.Work`."""
+        if not self.gateway.canary.records:
+            return self.make_work()
+        return self.make_work(self.gateway.canary.rule(self, self.make_work))
+
+    def make_work(self, rule=None):
+        """Return the request's `pool.Work` with a `canaries.VersionRule`, or None."""
         prompt = self.call.prompt
         return pool.Work(
             self.identity,
@@ -246,6 +258,7 @@
             prompt.input_tokens if prompt else 0,
             prompt.expected_output_tokens if prompt else 0,
             prompt.parts if prompt else (),
+            rule=rule,
         )
 
     def bound_work(self):
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -17,6 +17,7 @@
 from brasstrail.core import catalog, clock, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import (
+    canary,
     columns,
     crashes,
     documents,
@@ -147,6 +148,7 @@
         self.origins = origins.OriginTracker(self)
         self.documents = documents.DocumentReader(self)
         self.limits = limits.LimitDesk(self)
+        self.canary = canary.CanaryRouter(self)
         self.pauses = pauses.PauseWatch(TICK_MS, now_ms)
         self.knows_gateways = False
         self.waiters = {}
@@ -580,6 +582,7 @@
         run(self.crashes.tick, now_ms)
         run(self.origins.tick, now_ms)
         run(self.limits.tick, now_ms)
+        run(self.canary.tick, now_ms)
         if now_ms - self.last_sweep_ms >= IDLE_SWEEP_INTERVAL_MS:
             self.last_sweep_ms = now_ms
             run(self.gossip.apply_all_pending)
@@ -613,6 +616,7 @@
         gauge("gateway_waiting", lambda: len(self.pool.waiting))
         gauge("gateway_document_version", lambda: self.document_version)
         gauge("gateway_lease_age_ms", self.lease_age_gauge_ms)
+        gauge("gateway_rollouts", lambda: len(self.canary.exposures))
         gauge("gateway_connections_opened", lambda: self.connections.opened_count)
         gauge("gateway_held_bytes", lambda: self.held_bytes)
         gauge("gateway_peers", lambda: self.pool.gateway_count - 1)
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -82,6 +82,8 @@
     counter("control_documents", "calls", "Documents of operators.", "outcome"),
     counter("control_announcements", "calls", "Calls of backend servers.", "outcome"),
     latency("control_commit", "A document's arrival to the commit's outcome."),
+    gauge("control_rollouts", "roll-outs", "Roll-outs in progress."),
+    counter("control_rollout_steps", "steps", "Steps decided at the leader.", "state"),
     # Gateways.
     counter("gateway_requests", "requests", "Requests that ended.", "outcome", "tier"),
     latency("gateway_request", "Arrival to the end of a request.", "tier"),
@@ -106,6 +108,8 @@
     counter("gateway_trials", "requests", "Tries of held parts asked for.", "outcome"),
     counter("gateway_origins", "streams", "Streams taken up, by who knew.", "source"),
     gauge("gateway_streams_known", "streams", "Streams whose beginning is known."),
+    gauge("gateway_rollouts", "roll-outs", "Roll-outs in progress that are known."),
+    counter("gateway_new_version", "requests", "Sent to versions in roll-out.", "end"),
     gauge("gateway_running", "requests", "Requests under way."),
     gauge("gateway_waiting", "requests", "Requests that wait for a server."),
     gauge("gateway_held_bytes", "bytes", "Bytes of request bodies held in memory."),
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -19,7 +19,7 @@
 
 from brasstrail.core import clock, errors
 from brasstrail.protocol import codec, commands, messages
-from brasstrail.roles import registry
+from brasstrail.roles import registry, rollouts
 from brasstrail.state import documents
 
 TICK_MS = 100
@@ -45,7 +45,8 @@
 
     `version` is that of the newest document that the gateway has or was sent, at
     `sent_ms`. It has read those up to `received_version`. `unanswered` is its newest
-    confirmed heartbeat that must wait for a document, or None.
+    confirmed heartbeat that must wait for a document, or None. `rollouts_index` is the
+    log index of the roll-outs that it was sent, 0 if there were none.
     """
 
     name: str
@@ -57,6 +58,7 @@
     received_version: int = 0
     sent_ms: int = 0
     unanswered: int | None = None
+    rollouts_index: int = 0
 
     def is_document_underway(self, now_ms):
         """Return whether the gateway has yet to read a document that it was sent."""
@@ -110,12 +112,15 @@
         self.applied_version = 0
         control.listeners.append(self.on_document_applied)
         control.listeners.append(self.registry.apply_retirements)
+        self.rollouts = rollouts.RolloutDesk(self)
+        control.listeners.append(self.rollouts.on_applied)
 
     def start(self):
         """Register the gauges and start the periodic work."""
         self.register_gauges()
         self.registry.apply_retirements()
         self.ticker.start()
+        self.rollouts.start()
 
     def register_gauges(self):
         """Register the gauges of documents, gateways and backend servers."""
@@ -136,6 +141,7 @@
     def close(self):
         """Stop the periodic work."""
         self.ticker.stop()
+        self.rollouts.close()
 
     @property
     def document(self):
@@ -262,6 +268,7 @@
         meantime are never sent. The confirmation of a heartbeat follows the document.
         """
         now_ms = clock.now_ms()
+        self.rollouts.send(subscriber)
         if subscriber.version < self.document.version:
             if subscriber.is_document_underway(now_ms):
                 return
@@ -457,4 +464,7 @@
 HANDLERS = {
     messages.Watch: Publisher.handle_watch,
     messages.Gateways: Publisher.handle_gateways,
+    messages.RolloutOutcomes: lambda publisher, link, message: (
+        publisher.rollouts.handle_outcomes(message)
+    ),
 }
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -404,6 +404,81 @@
         self.assertEqual(len(waiting), 0)
         self.assertEqual((await call).code, 503)
 
+    async def order(self, control, **changes):
+        """Send an order of a roll-out; return the status."""
+        order = {"service": "s", "to": "v2", "duration_s": 60, **changes}
+        reply = await self.call(control, "POST", "/v1/rollouts", orjson.dumps(order))
+        return reply.code
+
+    async def read_rollout(self, control):
+        """Return the status, and the state of the roll-out of the service."""
+        reply = await self.call(control, "GET", "/v1/rollouts/s")
+        return reply.code, orjson.loads(reply.body).get("state")
+
+    async def test_rollout_is_ordered_once_and_reaches_gateways(self):
+        """Guards against an order that is acknowledged and lost, or made twice."""
+        first = self.controls[0]
+        self.assertEqual(await self.order(first), 404)
+        body = orjson.dumps(DOCUMENT)
+        await self.call(first, "PUT", "/v1/configuration", body)
+        for changes in (
+            {"service": 3},
+            {"to": ""},
+            {"duration_s": "60"},
+            {"duration_s": 0},
+            {"duration_s": float("nan")},
+        ):
+            self.assertEqual(await self.order(first, **changes), 400)
+        self.assertEqual(await self.order(first, service="t"), 404)
+        self.assertEqual((await self.read_rollout(first))[0], 404)
+        self.assertTrue(all(not each.gateway.canary.records for each in self.gateways))
+        for control in self.controls:
+            self.assertEqual(await self.order(control), 200)
+        self.assertEqual(await self.order(first, to="v3"), 409)
+        ordered_ms = first.control.machine.rollouts.by_service["s"].ordered_ms
+        await self.restart_all()
+        await wait_until(self.is_settled)
+        for control in self.controls:
+            self.assertEqual(await self.read_rollout(control), (200, "in_progress"))
+            held = control.control.machine.rollouts.by_service["s"]
+            self.assertEqual(held.ordered_ms, ordered_ms)
+        await wait_until(
+            lambda: all("s" in each.gateway.canary.records for each in self.gateways)
+        )
+
+    async def test_new_leader_keeps_the_deadline_of_a_rollout(self):
+        """Guards against a roll-out that ends late, or never, after its leader."""
+        body = orjson.dumps(DOCUMENT)
+        await self.call(self.controls[0], "PUT", "/v1/configuration", body)
+        await self.report_until_acknowledged("i-9", version="v2")
+        self.assertEqual(await self.order(self.controls[0], duration_s=8), 200)
+        await wait_until(
+            lambda: all(
+                [rollout.stage for rollout in each.control.machine.rollouts.in_progress]
+                == [1]
+                for each in self.controls
+            )
+        )
+        leader = next(
+            each for each in self.controls if each.control.replication.is_leader
+        )
+        others = [each for each in self.controls if each is not leader]
+        leader.stack.close()
+        rollouts = others[0].control.machine.rollouts
+        deadline_ms = rollouts.by_service["s"].deadline_ms
+        await wait_until(lambda: not others[0].control.machine.rollouts.in_progress)
+        decided = others[0].control.machine.rollouts.by_service["s"]
+        self.assertEqual(
+            (decided.state, decided.deadline_ms), ("reverted", deadline_ms)
+        )
+        self.assertLessEqual(decided.decided_ms, deadline_ms + 1000)
+        await wait_until(
+            lambda: all(
+                not each.gateway.canary.exposures and each.gateway.canary.records
+                for each in self.gateways
+            )
+        )
+
     async def test_late_commit_result_is_ignored(self):
         """Guards against a commit result that arrives after the caller timed out.
 
--- a/brasstrail/roles/sending.py
+++ b/brasstrail/roles/sending.py
@@ -62,6 +62,7 @@
     is_complete : whether the whole answer was received.
     tracked_run : `suspects.Run`, or None before the request is written.
     sent_to : the `servers.Announcement` of the server when the request was written.
+    version_run : `canary.Run`, or None without a roll-out in progress.
     """
 
     def __init__(self, request, place, work):
@@ -77,6 +78,7 @@
         self.head = None
         self.tracked_run = None
         self.sent_to = None
+        self.version_run = None
 
     async def run(self):
         """Send the request and relay its answer to the caller.
@@ -90,6 +92,7 @@
             stack.callback(self.release_connection)
             stack.callback(self.record_end)
             stack.callback(self.end_tracking)
+            stack.push(self.record_version_outcome)
             try:
                 await self.open()
                 self.write()
@@ -115,6 +118,16 @@
             self.gateway.crashes.leave(self.tracked_run)
         self.gateway.crashes.end_trials(self.request)
 
+    def record_version_outcome(self, error_type, error, traceback):
+        """Count the outcome for a roll-out; the parameters are those of an exit."""
+        self.gateway.canary.end(self, error)
+
+    def record_first_time(self):
+        """Record for a roll-out when the first answer, or the first event, came."""
+        run = self.version_run
+        if run is not None and run.first_ms is None:
+            run.first_ms = clock.now_ms() - run.sent_ms
+
     def record_end(self):
         """Record for the log how the server's answer was framed and how it ended."""
         if self.connection is None or self.tracked_run is None:
@@ -201,6 +214,8 @@
             raise refusals.ServerUnavailable("server_leaves", False)
         if self.gateway.pool.rests.until_ms(start, clock.now_ms()) is not None:
             raise refusals.ServerUnavailable("server_rests", False)
+        if not self.gateway.canary.permits(self.request, self.sent_to):
+            raise refusals.ServerUnavailable("version_excluded", False)
 
     def write(self):
         """Send the request; from now on it counts as one that may have run."""
@@ -228,6 +243,7 @@
         request.retry_charged_ms = None
         self.place.is_used = True
         self.tracked_run = self.gateway.crashes.begin(request, self.choice.identity)
+        self.version_run = self.gateway.canary.begin(request, self.sent_to)
         self.connection.on_interim = self.read_interim
         self.connection.send(call.method, call.target, headers, request.body)
 
@@ -369,6 +385,7 @@
         if self.is_event_stream():
             await self.relay_stream()
             return
+        self.record_first_time()
         try:
             body = await self.connection.read_body(MAX_BUFFERED_ANSWER_BYTES)
         except upstream.AnswerTooLarge as error:
@@ -408,6 +425,7 @@
                     break
                 complete_events = self.reply.event_cutter.feed(chunk)
                 if complete_events:
+                    self.record_first_time()
                     opened_ms = self.connection.opened_ms
                     self.request.begin_stream(self.sent_to, opened_ms)
                     await self.reply.write_events(self.head, complete_events)
--- a/brasstrail/roles/subscription.py
+++ b/brasstrail/roles/subscription.py
@@ -233,10 +233,15 @@
             self.drop_other_links(update.control_addresses)
         self.gateway.apply_gateways(update)
 
+    def handle_rollouts(self, link, update):
+        """Apply the records of roll-outs."""
+        self.gateway.canary.apply(update)
+
 
 HANDLERS = {
     messages.Current: Subscription.handle_current,
     messages.Document: Subscription.handle_document,
     messages.Directory: Subscription.handle_directory,
     messages.Gateways: Subscription.handle_gateways,
+    messages.Rollouts: Subscription.handle_rollouts,
 }
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -133,7 +133,9 @@
     of `losses` hosts. If `document_address` (IP:port) is not empty, operators
     replace the whole document there and backend servers announce themselves there,
     in the format of `dialect`. A snapshot is stored when the log has more than
-    `snapshot_every` entries.
+    `snapshot_every` entries. Of the requests of a service, a version in roll-out gets
+    at most `canary_share`, plus `canary_slack` requests, until it has proved good; a
+    bad one gets none later than `rollback_ms` after its 50th bad answer.
     """
 
     data_folder: str = "var/control"
@@ -150,6 +152,9 @@
     document_address: str = ""
     dialect: str = "fleet"
     announce_interval_ms: int = 1200
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_ms: int = 5000
 
     @property
     def wanted_voters(self):
@@ -173,7 +178,8 @@
     plus `retry_slack` in any `retry_window_s` seconds, over all gateways. Counts are
     not exact, so workspaces may be admitted beyond their allotments; the excess
     stays below `allotment_slack` (in the allotment's unit) in any
-    `allotment_window_s` seconds.
+    `allotment_window_s` seconds. `canary_share`, `canary_slack` and `rollback_ms` are
+    the bounds on the requests that a version in roll-out gets, as for a control host.
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -188,6 +194,9 @@
     allotment_slack: float = 0.0
     allotment_window_s: float = 8.0
     max_held_bytes: int = 32 * 1024 * 1024
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_ms: int = 5000
 
     @property
     def lease_ms(self):
--- a/brasstrail/state/machine.py
+++ b/brasstrail/state/machine.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from brasstrail.protocol import codec, commands, snapshots
-from brasstrail.state import documents, ledger, retirements, view
+from brasstrail.state import documents, ledger, retirements, rollouts, view
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +33,7 @@
     time_ms : the latest time of a command, in milliseconds.
     document : the operators' document, as `documents.LatestDocument`.
     retirements : `retirements.Retirements`, the servers that leave or are gone.
+    rollouts : `rollouts.Rollouts`, the latest roll-out of each service.
     """
 
     def __init__(self):
@@ -42,6 +43,7 @@
         self.ledger = ledger.Ledger()
         self.document = documents.LatestDocument()
         self.retirements = retirements.Retirements()
+        self.rollouts = rollouts.Rollouts()
 
     def apply(self, entry):
         """Apply a log entry and return its command as an `AppliedCommand`."""
@@ -73,6 +75,8 @@
             return self.document.replace(command)
         if isinstance(command, commands.RetireServers):
             return self.retirements.apply(command)
+        if type(command) in rollouts.HANDLERS:
+            return self.rollouts.apply(command, self.index)
         if type(command) in ledger.HANDLERS:
             return self.ledger.apply(command)
         return commands.Plain(True)
@@ -93,6 +97,7 @@
             self.document.version,
             self.document.packed,
             tuple(self.retirements.by_identity.values()),
+            tuple(self.rollouts.by_service.values()),
         )
         return codec.encode(codec.SNAPSHOT, state)
 
@@ -115,3 +120,4 @@
         self.ledger = ledger.Ledger(state.executions)
         self.document = documents.LatestDocument(state.document_version, state.document)
         self.retirements = retirements.Retirements(state.retirements)
+        self.rollouts = rollouts.Rollouts(state.rollouts)
--- a/brasstrail/tools/datafolder.py
+++ b/brasstrail/tools/datafolder.py
@@ -10,7 +10,7 @@
 
 from brasstrail.core import errors
 from brasstrail.protocol import codec, commands, snapshots
-from brasstrail.state import documents, journal, machine
+from brasstrail.state import documents, journal, machine, rollouts
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,6 +28,7 @@
     entries: tuple
     torn_writes: tuple
     document: documents.LatestDocument
+    rollouts: tuple = ()
 
     @property
     def last_index(self):
@@ -74,21 +75,23 @@
     contiguous_entries = journal.collect_contiguous_entries(entries, snapshot)
     if contiguous_entries is None:
         raise journal.corrupt_file_error(path, 0)
-    document = latest_document(snapshot, contiguous_entries)
+    state = latest_state(snapshot, contiguous_entries)
     return DataFolder(
         identity,
         folder_journal.hard_state,
         snapshot,
         contiguous_entries,
         tuple(torn_writes),
-        document,
+        state.document,
+        tuple(state.rollouts.by_service.values()),
     )
 
 
-def latest_document(snapshot, entries):
-    """Return the latest document in the snapshot and the log entries.
+def latest_state(snapshot, entries):
+    """Return a `machine.Machine` with the latest document and roll-outs.
 
-    It may be uncommitted, as the entries after the snapshot may be.
+    They are those of the snapshot and the log entries. They may be uncommitted, as the
+    entries after the snapshot may be.
     """
     state_machine = machine.Machine()
     state_machine.restore(snapshot.state if snapshot else b"")
@@ -99,7 +102,10 @@
         command = codec.decode(codec.COMMAND, entry.command)
         if isinstance(command, commands.ReplaceDocument):
             document.replace(command)
-    return document
+        if type(command) in rollouts.HANDLERS:
+            timed = state_machine.with_monotonic_time(command)
+            state_machine.rollouts.apply(timed, entry.index)
+    return state_machine
 
 
 def describe(folder):
@@ -118,6 +124,8 @@
         f"voters       {', '.join(voter.name for voter in folder.voters)}",
         f"document     version {folder.document.version}",
     ]
+    for rollout in folder.rollouts:
+        rows.append(f"roll-out     {rollouts.describe(rollout)}")
     for path, torn_bytes in folder.torn_writes:
         rows.append(f"torn write   {torn_bytes} bytes at the end of {path.name}")
     rows.append("checksums    valid for all complete frames")
