--- a/brasstrail/coordination/zones.py
+++ b/brasstrail/coordination/zones.py
@@ -382,7 +382,7 @@
 
         They are found once for all requests that wait.
         """
-        key = work.service, work.software
+        key = work.service, work.software, work.rule
         if key not in openings.zone_loads:
             loads = openings.zone_loads[key] = {}
             for server in openings.accepting:
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -71,6 +71,10 @@
     has_begun : whether an event has been passed on.
     is_shut_down : whether the gateway ends the request because its process stops.
     outcome : how the request ended, for the log.
+    rollout_ms : the order of the roll-out that the request was last counted for, or
+        None.
+    uses_new_version : whether the request was drawn to go to the version of that
+        roll-out; None before.
     retry_charged_ms : when the retry budget was charged for a sending that has not been
         made yet, or None.
     """
@@ -101,6 +105,8 @@
         self.is_shut_down = False
         self.outcome = ""
         self.retry_charged_ms = None
+        self.rollout_ms = None
+        self.uses_new_version = None
 
     @property
     def identity(self):
@@ -237,6 +243,12 @@
 
     def work(self):
         """Return the request's `pool.Work`."""
+        if not self.gateway.canary.records:
+            return self.make_work()
+        return self.make_work(self.gateway.canary.rule(self, self.make_work))
+
+    def make_work(self, rule=None):
+        """Return the request's `pool.Work` with a `canaries.VersionRule`, or None."""
         prompt = self.call.prompt
         return pool.Work(
             self.identity,
@@ -251,6 +263,7 @@
             transfer_bytes=zones.transfer_bytes(
                 len(self.body), prompt.expected_output_tokens if prompt else 0
             ),
+            rule=rule,
         )
 
     def bound_work(self):
