Count and limit what clients make a process hold

Cause: bodies, heads, pipelined requests and unread answers of any client were held without a limit before admission saw them, at every address (docs/design/LOAD.md, part 1).

Change: each process has one account (transport/intake) of the buffers of all connections that others open, of heads, of bodies in reception and of answers on either side. All HTTP servers are transport/listening.Server: - Bytes of bodies are counted before they are held; without room, connections without progress are closed, the oldest first, and the request is refused with 503. A quarter is reserved for small requests; one large body is always taken, so that a document of the operators is served in calm. - Heads with more than 256 fields get 431 before they are parsed, bodies over the limit 413. The limit on a head is max_header_bytes, no longer at least 64 KiB. - The gateway checks route, key and stop on the head of a request with a long body; the body of a refused one, and of any request at the readiness and metrics addresses, is dropped. - Chunks are decoded many at a time, and dense ones use at most a quarter of the loop. - An answer before the end of its request's body no longer closes the connection until the body has been read and dropped. - Heads end within header_timeout_ms, bodies without progress after 15 s, connections are limited by descriptors and memory, handshakes at the peer port to a quarter of that. - Reading from a server pauses beyond 256 KiB unread, and for large answers while memory is short. Metrics intake_*; one log line per second.

--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -63,6 +63,23 @@
     )
 
 
+def check_head(gateway, call):
+    """Raise `refusals.Refused` if the head alone determines that a request is refused.
+
+    Reasons that may pass while the body is received are left to `admit`.
+    """
+    if not gateway.shutdown.accepts_requests:
+        raise refusals.Refused(503, "stopping", STOPPING_RETRY_S)
+    if gateway.catalog is None:
+        return
+    if gateway.settings.fails_closed and not gateway.lease.is_valid:
+        return
+    route = gateway.catalog.find_route(call.host, call.path)
+    if route is None:
+        raise refusals.Refused(404, "no_route")
+    find_access(gateway.catalog, route, call.key, True)
+
+
 def check_gateway(gateway):
     """Raise `refusals.Refused` if the gateway cannot accept any request now."""
     if not gateway.shutdown.accepts_requests:
--- a/brasstrail/roles/agent.py
+++ b/brasstrail/roles/agent.py
@@ -6,12 +6,13 @@
 entries that subscribed.
 """
 
-from tornado import httpserver, ioloop
+from tornado import ioloop
 
 from brasstrail.coordination import admission, cache, dispatches, slopes
 from brasstrail.core import clock, data, errors
 from brasstrail.protocol import chat, codec, messages
 from brasstrail.roles import backend, metrics, modelrun, plainrun, runs, web
+from brasstrail.transport import listening
 
 TICK_MS = 100
 TICKS_PER_STATE_REPORT = 5
@@ -78,7 +79,9 @@
     def start(self):
         """Start the HTTP server for the backend server's announcements."""
         app = web.make_app(self, [(r"/v1/announce", AnnounceHandler)])
-        self.http = httpserver.HTTPServer(app, max_body_size=MAX_ANNOUNCEMENT_BYTES)
+        self.http = listening.Server(
+            app, self.hub.account, max_body_size=MAX_ANNOUNCEMENT_BYTES
+        )
         self.http.listen(self.settings.announce_port, "127.0.0.1")
         self.ticker.start()
 
--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -11,7 +11,7 @@
 import sys
 
 import click
-from tornado import httpclient, httpserver, httputil
+from tornado import httpclient, httputil
 
 import brasstrail
 import brasstrail.platform
@@ -19,6 +19,7 @@
 from brasstrail.protocol import dialects
 from brasstrail.roles import hub, logs, metrics
 from brasstrail.settings import settings
+from brasstrail.transport import listening
 
 DRAIN_POLL_S = 0.05
 MAX_ADMIN_BODY_BYTES = 8 * 1024 * 1024
@@ -52,6 +53,7 @@
         self.stopping = asyncio.Event()
         self.incarnation = clock.wall_ms()
         self.hub = hub.Hub(loaded, self.incarnation, self.log)
+        self.hub.intake_watch.register_metrics(self.metrics)
         self.control = None
         self.entry = None
         self.agent = None
@@ -112,13 +114,17 @@
         self.stack.callback(self.publisher.close)
         dialect = dialects.create(options.dialect)
         app = dialect.operator_app(self.publisher)
-        server = httpserver.HTTPServer(app, max_body_size=MAX_DOCUMENT_BYTES)
+        server = self.make_server(app, max_body_size=MAX_DOCUMENT_BYTES)
         listen(server, options.document_address)
         self.stack.callback(server.stop)
 
+    def make_server(self, callback, **options):
+        """Return an HTTP server with the limits of the process."""
+        return listening.Server(callback, self.hub.account, **options)
+
     def serve_metrics(self):
         """Start the HTTP server for metrics."""
-        server = httpserver.HTTPServer(self.answer_metrics)
+        server = self.make_server(listening.BodilessDelegate(self.answer_metrics))
         server.listen(self.settings.metrics.port, self.settings.node.address)
         self.stack.callback(server.stop)
 
@@ -139,7 +145,7 @@
         admin = load_role("admin")
         role = admin.Admin(self.hub, self.control, self.metrics)
         app = load_role("web").make_app(role, admin.ROUTES)
-        server = httpserver.HTTPServer(app, max_body_size=MAX_ADMIN_BODY_BYTES)
+        server = self.make_server(app, max_body_size=MAX_ADMIN_BODY_BYTES)
         server.listen(self.settings.control.admin_port, self.settings.node.address)
         self.stack.callback(server.stop)
 
--- a/brasstrail/roles/entry.py
+++ b/brasstrail/roles/entry.py
@@ -11,12 +11,13 @@
 import hashlib
 import random
 
-from tornado import httpserver, ioloop
+from tornado import ioloop
 
 from brasstrail.coordination import recentcrashes, scheduler, slopes
 from brasstrail.core import clock, data, errors
 from brasstrail.protocol import commands, messages
 from brasstrail.roles import api, exchange, metrics, web
+from brasstrail.transport import listening
 
 TICK_MS = 100
 PLACEMENT_INTERVAL_MS = 10
@@ -110,8 +111,9 @@
     def start_serving(self):
         """Start the callers' HTTP server."""
         app = web.make_app(self, api.ROUTES)
-        self.http = httpserver.HTTPServer(
+        self.http = listening.Server(
             app,
+            self.hub.account,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=self.settings.max_body_bytes,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -125,20 +125,23 @@
 
     # Lifecycle.
 
-    async def run(self, start_line, headers, body):
-        """Serve the request, and record its outcome."""
+    async def run(self, start_line, headers, body, refusal=None):
+        """Serve the request, and record its outcome.
+
+        `refusal` is the `refusals.Refused` that its head has determined, or None.
+        """
         with contextlib.ExitStack() as stack:
             stack.callback(self.record_outcome)
             stack.callback(self.refund_allotment)
             stack.callback(self.refund_retry)
             stack.callback(self.gateway.crashes.end_trials, self)
-            await self.answer(start_line, headers, body)
+            await self.answer(start_line, headers, body, refusal)
 
-    async def answer(self, start_line, headers, body):
+    async def answer(self, start_line, headers, body, refusal):
         """Serve the request, or answer it with the reason why it is not served."""
         self.outcome = "caller_gone"
         try:
-            self.outcome = await self.serve(start_line, headers, body)
+            self.outcome = await self.serve(start_line, headers, body, refusal)
         except refusals.Refused as refusal:
             self.outcome = refusal.reason
             self.gateway.metrics.count("gateway_refusals", reason=refusal.reason)
@@ -172,12 +175,14 @@
         refusal = self.refusal("internal_error", MIN_RETRY_S)
         self.reply.send_refusal(refusal, self.call, self.ran)
 
-    async def serve(self, start_line, headers, body):
+    async def serve(self, start_line, headers, body, refusal):
         """Admit the request and complete it within its deadline."""
         try:
             self.call = self.gateway.dialect.read_call(start_line, headers)
         except errors.BadRequest as error:
             raise refusals.Refused(400, error.code) from error
+        if refusal is not None:
+            raise refusal
         self.body = body
         self.content = calls.digest_content(self.call, body)
         self.parts = parts.shared_parts(self.call.prompt)
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -11,12 +11,13 @@
 import asyncio
 import dataclasses
 
-from tornado import httpserver, httputil, ioloop
+from tornado import httputil, ioloop
 
 from brasstrail.coordination import allotments, directory, pool, retries
-from brasstrail.core import catalog, clock, servers
+from brasstrail.core import catalog, clock, data, errors, servers
 from brasstrail.protocol import dialects, messages
 from brasstrail.roles import (
+    admitting,
     columns,
     crashes,
     documents,
@@ -29,11 +30,13 @@
     origins,
     pauses,
     places,
+    refusals,
     registry,
+    replies,
     shutdown,
     subscription,
 )
-from brasstrail.transport import upstream
+from brasstrail.transport import listening, upstream
 
 TICK_MS = 50
 IDLE_SWEEP_INTERVAL_MS = 500
@@ -50,35 +53,59 @@
 # A gateway that is no longer listed still counts for this long: about twice the time
 # after which control hosts drop one that they have not heard of.
 PEER_RETENTION_MS = 6000
-DEFAULT_HEADER_BYTES = 65_536
+# The head of a request with a longer body is checked before the body is received. A
+# shorter one arrives with the head, or soon after it.
+MAX_UNCHECKED_BYTES = 16 * 1024
+MEMORY_RETRY_S = 1.0
 
 
-class RequestDelegate(httputil.HTTPMessageDelegate):
-    """Buffers one request and serves it once it is complete."""
+class RequestDelegate(listening.Delegate):
+    """Buffers one request and serves it once it is complete.
+
+    Attributes
+    ----------
+    refusal : the `refusals.Refused` that the head alone determines, or None.
+    keeps_body : whether the body is held; it is dropped if the request is refused.
+    """
 
     def __init__(self, gateway, connection):
         self.gateway = gateway
         self.connection = connection
         self.start_line = None
         self.headers = None
+        self.refusal = None
         self.chunks = []
-        self.size = 0
+
+    @property
+    def keeps_body(self):
+        """Whether the body is held."""
+        return self.refusal is None
 
     def headers_received(self, start_line, headers):
-        """Store the start line and the headers."""
+        """Store the start line and the headers; check them if a long body follows."""
         self.start_line = start_line
         self.headers = headers
+        length = headers.get("Content-Length", "0")
+        is_short = length.isdecimal() and int(length) <= MAX_UNCHECKED_BYTES
+        if not is_short or "Transfer-Encoding" in headers:
+            self.refusal = self.gateway.find_head_refusal(start_line, headers)
 
     def data_received(self, chunk):
         """Store a chunk of the body."""
         self.chunks.append(chunk)
-        self.size += len(chunk)
 
     def finish(self):
         """Serve the complete request."""
         body = b"".join(self.chunks)
         self.chunks = []
-        self.gateway.serve(self.connection, self.start_line, self.headers, body)
+        self.gateway.serve(
+            self.connection, self.start_line, self.headers, body, self.refusal
+        )
+
+    def refuse(self, connection):
+        """Answer that there is no room for the request, which has not run."""
+        self.chunks = []
+        self.gateway.refuse_for_memory(connection, self.start_line, self.headers)
 
     def on_connection_close(self):
         """Discard the body if the caller disconnects before the request is complete."""
@@ -140,7 +167,7 @@
             self.settings.allotment_window_s,
         )
         self.budget = retries.RetryBudget(self.settings)
-        self.connections = upstream.ConnectionPool()
+        self.connections = upstream.ConnectionPool(hub.account)
         self.subscription = subscription.Subscription(hub, self)
         self.gossip = gossip.Gossip(hub, self)
         self.crashes = crashes.CrashTracker(self)
@@ -167,16 +194,19 @@
     async def start(self):
         """Start listening for requests and subscribe to a control host."""
         limits = catalog.CallerLimits()
-        self.http = httpserver.HTTPServer(
+        self.http = listening.Server(
             ConnectionDelegate(self),
-            max_header_size=max(DEFAULT_HEADER_BYTES, limits.max_header_bytes),
+            self.hub.account,
+            max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
             idle_connection_timeout=limits.idle_timeout_ms / 1000
             + IDLE_TIMEOUT_MARGIN_S,
         )
         host, _, port = self.settings.http_address.rpartition(":")
         self.http.listen(int(port), host, backlog=LISTEN_BACKLOG)
-        self.ready_http = httpserver.HTTPServer(self.handle_readiness_request)
+        self.ready_http = listening.Server(
+            listening.BodilessDelegate(self.handle_readiness_request), self.hub.account
+        )
         host, _, port = self.settings.ready_address.rpartition(":")
         self.ready_http.listen(int(port), host)
         self.gossip.open()
@@ -278,11 +308,12 @@
     def apply_limits(self, limits):
         """Apply the request limits to requests that arrive from now on."""
         parameters = self.http.conn_params
-        parameters.max_header_size = max(DEFAULT_HEADER_BYTES, limits.max_header_bytes)
+        parameters.max_header_size = limits.max_header_bytes
         parameters.max_body_size = limits.max_body_bytes
         parameters.header_timeout = (
             limits.idle_timeout_ms / 1000 + IDLE_TIMEOUT_MARGIN_S
         )
+        self.http.header_timeout_ms = limits.header_timeout_ms
 
     def apply_directory(self, update):
         """Apply server records; a complete update also removes servers not in it."""
@@ -478,10 +509,38 @@
 
     # Requests.
 
-    def serve(self, connection, start_line, headers, body):
-        """Serve a complete request in its own task."""
+    def find_head_refusal(self, start_line, headers):
+        """Return the `refusals.Refused` that a head alone determines, or None."""
+        try:
+            call = self.dialect.read_call(start_line, headers)
+            admitting.check_head(self, call)
+        except errors.BadRequest as error:
+            return refusals.Refused(400, error.code)
+        except refusals.Refused as refusal:
+            return refusal
+        return None
+
+    def refuse_for_memory(self, connection, start_line, headers):
+        """Answer a request of which only a part was received that there is no room."""
+        refusal = refusals.Refused(503, "memory", MEMORY_RETRY_S)
+        self.metrics.count("gateway_refusals", reason=refusal.reason)
+        try:
+            call = self.dialect.read_call(start_line, headers)
+        except errors.BadRequest:
+            call = None
+        replies.Reply(self, connection).send_refusal(
+            refusal, call, data.RunStatus.NOT_RUN
+        )
+
+    def serve(self, connection, start_line, headers, body, refusal=None):
+        """Serve a complete request in its own task.
+
+        `refusal` is the `refusals.Refused` that its head has determined, or None.
+        """
         request = forwarding.ForwardedRequest(self, connection)
-        task = self.hub.loop.create_task(request.run(start_line, headers, body))
+        task = self.hub.loop.create_task(
+            request.run(start_line, headers, body, refusal)
+        )
         self.running[task] = request
         self.held_bytes += len(body)
         connection.set_close_callback(task.cancel)
--- a/brasstrail/roles/hub.py
+++ b/brasstrail/roles/hub.py
@@ -18,7 +18,7 @@
 
 from brasstrail.core import clock, errors
 from brasstrail.protocol import codec, handshake, messages
-from brasstrail.roles import links
+from brasstrail.roles import intakewatch, links
 from brasstrail.transport import frames, shaping
 
 TICK_MS = 100
@@ -28,6 +28,9 @@
 RECONNECT_DELAY_MAX_S = 1.0
 SESSION_RETENTION_MS = 60_000
 MAX_HANDSHAKE_BYTES = 4096
+# Connections in their handshake, as a part of the limit on connections. Peers that
+# start together have theirs within milliseconds.
+HANDSHAKE_FRACTION = 1 / 4
 # Limit on the received bytes that Tornado buffers for one connection.
 MAX_READ_BUFFER_BYTES = 256 * 1024 * 1024
 
@@ -56,7 +59,15 @@
         super().__init__(max_buffer_size=MAX_READ_BUFFER_BYTES)
         self.hub = hub
 
-    async def handle_stream(self, stream, address):
+    def handle_stream(self, stream, address):
+        """Return a coroutine that serves one connection until it ends.
+
+        Connections are limited here, since many are accepted before a coroutine runs.
+        """
+        self.hub.limit_handshakes(stream)
+        return self.serve_stream(stream, address)
+
+    async def serve_stream(self, stream, address):
         """Serve one connection until it ends."""
         try:
             await self.hub.accept(stream)
@@ -68,6 +79,7 @@
                     reason=str(error) or type(error).__name__,
                 )
         finally:
+            self.hub.handshaking.pop(stream, None)
             stream.close()
 
 
@@ -87,6 +99,9 @@
     dialed : links that this process dials, by address.
     bytes_sent : bytes sent within the region and between regions.
     shaper : shapes traffic where the settings ask for it, or None.
+    account : `intake.Account` of the process.
+    handshaking : the connections whose dialers have not proved who they are, in the
+        order of their opening.
     """
 
     def __init__(self, settings, incarnation, log):
@@ -104,6 +119,9 @@
         self.closed = False
         self.bytes_sent = collections.Counter()
         self.shaper = shaping.make_shaper(settings, self.loop)
+        self.account = intakewatch.make_account(settings)
+        self.intake_watch = intakewatch.IntakeWatch(self.account, log)
+        self.handshaking = {}
 
     def start(self):
         """Listen for peers and start the periodic work."""
@@ -158,6 +176,7 @@
         last connection ended.
         """
         now_ms = clock.now_ms()
+        self.run_callback(self.intake_watch.tick, now_ms)
         for link in [*self.accepted.values(), *self.dialed.values()]:
             self.run_callback(link.tick, now_ms)
         for name, link in list(self.accepted.items()):
@@ -340,6 +359,7 @@
         stream.set_nodelay(True)
         authenticating = self.authenticate_dialer(stream)
         hello = await asyncio.wait_for(authenticating, HANDSHAKE_TIMEOUT_S)
+        self.handshaking.pop(stream, None)
         link, resumed = self.find_session(hello)
         link.region, link.data_centre = hello.region, hello.data_centre
         welcome = handshake.make_welcome(
@@ -357,6 +377,15 @@
             if link.stream is stream:
                 link.drop_stream()
 
+    def limit_handshakes(self, stream):
+        """Count a connection without a handshake; close the oldest of too many."""
+        self.handshaking[stream] = None
+        limit = HANDSHAKE_FRACTION * self.account.limits.connections
+        if len(self.handshaking) > limit:
+            oldest = next(iter(self.handshaking))
+            del self.handshaking[oldest]
+            self.account.end(oldest, "handshakes")
+
     async def authenticate_dialer(self, stream):
         """Return the hello of a dialer that proved that it knows the secret."""
         challenge = messages.Challenge(
--- a/brasstrail/roles/intake_test.py
+++ b/brasstrail/roles/intake_test.py
@@ -130,12 +130,18 @@
         async with asyncio.timeout(SEND_TIMEOUT_S):
             # A limit of one byte keeps the answers in the kernel's buffers.
             _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1)
-            stack.callback(writer.transport.abort)
+            stack.callback(abort, writer)
             for part in parts:
                 writer.write(part)
                 await writer.drain()
 
 
+def abort(writer):
+    """Close a connection at once, unless it has been closed."""
+    if not writer.is_closing():
+        writer.transport.abort()
+
+
 class HostileCallersTest(unittest.IsolatedAsyncioTestCase):
     """A gateway and a control process under all kinds of `CROWDS`."""
 
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -50,6 +50,12 @@
 
 
 MEASURES = (
+    # All processes.
+    gauge("intake_held_bytes", "bytes", "What others make the process hold."),
+    gauge("intake_connections", "connections", "Opened by others and open now."),
+    counter(
+        "intake_refusals", "requests", "Requests refused, connections closed.", "reason"
+    ),
     # Entries.
     counter(
         "requests", "requests", "Requests that ended.", "outcome", "service", "tier"
--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -23,7 +23,13 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_CHARACTERS = 16
 MAX_PORT = 65535
-KEYS_THAT_ALLOW_ZERO = ("replicas", "losses", "admin_port")
+KEYS_THAT_ALLOW_ZERO = (
+    "replicas",
+    "losses",
+    "admin_port",
+    "memory_mb",
+    "max_connections",
+)
 # The lease lasts this fraction of `revoke_ms`, the time within which a removed key must
 # stop working. The rest covers requests that were admitted just before the lease ended.
 LEASE_FRACTION = 0.9
@@ -133,7 +139,8 @@
     of `losses` hosts. If `document_address` (IP:port) is not empty, operators
     replace the whole document there and backend servers announce themselves there,
     in the format of `dialect`. A snapshot is stored when the log has more than
-    `snapshot_every` entries.
+    `snapshot_every` entries. `max_held_bytes` and `memory_mb` are as those of a
+    gateway; one document is taken even beyond them.
     """
 
     data_folder: str = "var/control"
@@ -150,6 +157,8 @@
     document_address: str = ""
     dialect: str = "fleet"
     announce_interval_ms: int = 1200
+    max_held_bytes: int = 32 * 1024 * 1024
+    memory_mb: int = 0
 
     @property
     def wanted_voters(self):
@@ -173,7 +182,9 @@
     plus `retry_slack` in any `retry_window_s` seconds, over all gateways. Counts are
     not exact, so workspaces may be admitted beyond their allotments; the excess
     stays below `allotment_slack` (in the allotment's unit) in any
-    `allotment_window_s` seconds.
+    `allotment_window_s` seconds. Callers may make the process hold `max_held_bytes`,
+    and at most a quarter of `memory_mb`, the memory of the process in MiB, if that is
+    not 0.
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -188,6 +199,7 @@
     allotment_slack: float = 0.0
     allotment_window_s: float = 8.0
     max_held_bytes: int = 32 * 1024 * 1024
+    memory_mb: int = 0
 
     @property
     def lease_ms(self):
@@ -200,6 +212,23 @@
         return LEASE_FRACTION * self.revoke_ms
 
 
+@dataclasses.dataclass(frozen=True)
+class Intake:
+    """What others may make a process of any role hold, beside `max_held_bytes`.
+
+    At most `max_connections` connections are open; 0 derives the number from the limit
+    on descriptors and from `memory_mb`. The head of a request has at most
+    `max_head_fields` fields. A quarter of the held bytes is reserved for requests of up
+    to `small_request_bytes`. The reception of a body is ended when nothing arrives for
+    `body_timeout_ms`, or earlier while memory is short.
+    """
+
+    max_connections: int = 0
+    max_head_fields: int = 256
+    small_request_bytes: int = 65_536
+    body_timeout_ms: int = 15_000
+
+
 @dataclasses.dataclass(frozen=True)
 class MetricsPage:
     """The port that serves metrics as text; 0 disables it."""
@@ -264,6 +293,7 @@
     agent: AgentRole = AgentRole()
     control: ControlRole = ControlRole()
     gateway: GatewayRole = GatewayRole()
+    intake: Intake = Intake()
     metrics: MetricsPage = MetricsPage()
     auth: Auth = Auth()
     log: Log = Log()
@@ -416,7 +446,7 @@
 
 def find_number_problems(loaded):
     """Yield the problems of integers that must be positive and are not."""
-    for table in ("entry", "agent", "control", "gateway"):
+    for table in ("entry", "agent", "control", "gateway", "intake"):
         record = getattr(loaded, table)
         for field in dataclasses.fields(record):
             value = getattr(record, field.name)
--- a/brasstrail/tools/pages.py
+++ b/brasstrail/tools/pages.py
@@ -26,6 +26,7 @@
     ("agent", settings.AgentRole),
     ("control", settings.ControlRole),
     ("gateway", settings.GatewayRole),
+    ("intake", settings.Intake),
     ("metrics", settings.MetricsPage),
     ("auth.tokens", settings.Token),
     ("log", settings.Log),
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -14,12 +14,16 @@
 from tornado import http1connection, httputil, iostream, tcpclient
 
 from brasstrail.core import bounds, clock, errors
+from brasstrail.transport import intake
 
 CHUNK_BYTES = 65536
 MAX_HEADER_BYTES = 65536
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Chunks of an answer that are buffered until the reader has taken earlier ones.
 MAX_BUFFERED_CHUNKS = 64
+# The same in bytes. A stream's events are small; only the answers to callers that do
+# not read come near.
+MAX_BUFFERED_BYTES = 256 * 1024
 # These detect silent connections: the time-out for the acknowledgement of written
 # bytes by the other end, and the probes on a connection without traffic.
 TCP_USER_TIMEOUT_MS = 2500
@@ -85,11 +89,18 @@
     is_parsed : whether the parser has reached the end of the body.
     end : `AnswerEnd`, or None while the answer is being received.
     interim_answers : how many were received.
+    account : `intake.Account` of the process, which counts the buffered chunks.
+    buffered_bytes : the size of the chunks that the reader has not taken.
+    received_bytes : the size of all chunks. Small answers are never paused.
     on_interim : called with the start line and headers of each interim answer, or None.
     """
 
-    def __init__(self, on_interim=None):
+    def __init__(self, account=None, on_interim=None):
+        self.account = account or intake.Account()
         self.on_interim = on_interim
+        self.buffered_bytes = 0
+        self.received_bytes = 0
+        self.has_room = asyncio.Event()
         self.head = asyncio.get_running_loop().create_future()
         self.framing = None
         self.chunks = asyncio.Queue(MAX_BUFFERED_CHUNKS)
@@ -122,9 +133,37 @@
             self.head.set_result((start_line, headers))
 
     def data_received(self, chunk):
-        """Queue a part of the body; wait while the queue is full."""
+        """Queue a part of the body; wait while there is no room for more."""
+        self.count(len(chunk))
+        self.received_bytes += len(chunk)
+        is_large = self.received_bytes > self.account.limits.small_bytes
+        is_held = is_large and self.account.is_short
+        if self.buffered_bytes > MAX_BUFFERED_BYTES or is_held:
+            return self.put_and_wait(chunk)
         return self.chunks.put(chunk)
 
+    async def put_and_wait(self, chunk):
+        """Queue a part of the body, and wait until there is room for more."""
+        await self.chunks.put(chunk)
+        await self.account.wait_for_room()
+        while self.buffered_bytes > MAX_BUFFERED_BYTES:
+            self.has_room.clear()
+            await self.has_room.wait()
+
+    def count(self, size):
+        """Count bytes that are buffered; a negative size releases them."""
+        self.buffered_bytes += size
+        self.account.add(size)
+        if self.buffered_bytes <= MAX_BUFFERED_BYTES:
+            self.has_room.set()
+
+    async def take_chunk(self):
+        """Return the next part of the body, or None at its end."""
+        chunk = await self.chunks.get()
+        if chunk is not None:
+            self.count(-len(chunk))
+        return chunk
+
     def finish(self):
         """Record that the parser has reached the end of the body."""
         self.is_parsed = True
@@ -149,6 +188,7 @@
     ----------
     stream : the connected `iostream.IOStream`.
     address : the server's address.
+    account : `intake.Account` of the process, or None for one of its own.
 
     Attributes
     ----------
@@ -161,7 +201,8 @@
     on_interim : called with the start line and headers of each interim answer, or None.
     """
 
-    def __init__(self, stream, address):
+    def __init__(self, stream, address, account=None):
+        self.account = account or intake.Account()
         self.stream = stream
         self.address = address
         self.answer = None
@@ -175,7 +216,7 @@
     def send(self, method, target, headers, body):
         """Write a request and start to read its answer."""
         self.requests_sent += 1
-        self.answer = Answer(self.on_interim)
+        self.answer = Answer(self.account, self.on_interim)
         parameters = http1connection.HTTP1ConnectionParameters(
             chunk_size=CHUNK_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -226,7 +267,7 @@
 
         Raises `AnswerIncomplete` if the answer ended before it was complete.
         """
-        chunk = await self.answer.chunks.get()
+        chunk = await self.answer.take_chunk()
         if chunk is None and not self.answer.is_whole:
             raise AnswerIncomplete("The connection ended within the answer's body.")
         return chunk
@@ -239,12 +280,15 @@
         """
         chunks = []
         size = 0
-        while (chunk := await self.read_chunk()) is not None:
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > max_bytes:
-                raise AnswerTooLarge("The answer's body exceeds the size limit.")
-        return b"".join(chunks)
+        with contextlib.ExitStack() as stack:
+            while (chunk := await self.read_chunk()) is not None:
+                self.account.add(len(chunk))
+                stack.callback(self.account.add, -len(chunk))
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > max_bytes:
+                    raise AnswerTooLarge("The answer's body exceeds the size limit.")
+            return b"".join(chunks)
 
     def try_mark_idle(self, keep_alive_timeout_s):
         """Mark the connection as idle; return whether it can be reused.
@@ -297,6 +341,8 @@
         """Close the connection; the server then stops work on an unfinished request."""
         if self.read_task is not None:
             self.read_task.cancel()
+        if self.answer is not None:
+            self.answer.count(-self.answer.buffered_bytes)
         self.stream.close()
 
 
@@ -331,13 +377,18 @@
     Idle connections are stored by (address, identity), because an address may be
     reassigned to another server.
 
+    Parameters
+    ----------
+    account : `intake.Account` of the process, or None for one of its own.
+
     Attributes
     ----------
     idle : lists of idle connections by (address, identity).
     opened_count : how many connections were opened, including failed attempts.
     """
 
-    def __init__(self):
+    def __init__(self, account=None):
+        self.account = account
         self.idle = {}
         self.client = tcpclient.TCPClient()
         self.opened_count = 0
@@ -386,7 +437,7 @@
             )
         stream.set_nodelay(True)
         set_silence_timeouts(stream.socket)
-        return Upstream(stream, address)
+        return Upstream(stream, address, self.account)
 
     def release(self, upstream, identity, keep_alive_timeout_s):
         """Keep a connection whose request has ended for reuse, or close it."""
