--- a/brasstrail/settings/settings.py
+++ b/brasstrail/settings/settings.py
@@ -23,7 +23,13 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MIN_SECRET_CHARACTERS = 16
 MAX_PORT = 65535
-KEYS_THAT_ALLOW_ZERO = ("replicas", "losses", "admin_port")
+KEYS_THAT_ALLOW_ZERO = (
+    "replicas",
+    "losses",
+    "admin_port",
+    "memory_mb",
+    "max_connections",
+)
 # A request of 9 KB then costs 90 s, longer than any caller waits.
 MAX_LINK_COST_MS_PER_KB = 10_000
 # The lease lasts this fraction of `revoke_ms`, the time within which a removed key must
@@ -138,6 +144,8 @@
     `snapshot_every` entries. Of the requests of a service, a version in roll-out gets
     at most `canary_share`, plus `canary_slack` requests, until it has proved good; a
     bad one gets none later than `rollback_ms` after its 50th bad answer.
+    `max_held_bytes` and `memory_mb` are as those of a gateway; one document is taken
+    even beyond them.
     """
 
     data_folder: str = "var/control"
@@ -157,6 +165,8 @@
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_ms: int = 5000
+    max_held_bytes: int = 32 * 1024 * 1024
+    memory_mb: int = 0
 
     @property
     def wanted_voters(self):
@@ -202,7 +212,9 @@
     stays below `allotment_slack` (in the allotment's unit) in any
     `allotment_window_s` seconds. `link_cost_ms_per_kb` is the table of the prices of
     bytes by distance. `canary_share`, `canary_slack` and `rollback_ms` are the bounds
-    on the requests that a version in roll-out gets, as for a control host.
+    on the requests that a version in roll-out gets, as for a control host. Callers may
+    make the process hold `max_held_bytes`, and at most a quarter of `memory_mb`, the
+    memory of the process in MiB, if that is not 0.
     """
 
     http_address: str = "127.0.0.1:8090"
@@ -217,6 +229,7 @@
     allotment_slack: float = 0.0
     allotment_window_s: float = 8.0
     max_held_bytes: int = 32 * 1024 * 1024
+    memory_mb: int = 0
     canary_share: float = 0.1
     canary_slack: float = 50.0
     rollback_ms: int = 5000
@@ -233,6 +246,23 @@
         return LEASE_FRACTION * self.revoke_ms
 
 
+@dataclasses.dataclass(frozen=True)
+class Intake:
+    """What others may make a process of any role hold, beside `max_held_bytes`.
+
+    At most `max_connections` connections are open; 0 derives the number from the limit
+    on descriptors and from `memory_mb`. The head of a request has at most
+    `max_head_fields` fields. A quarter of the held bytes is reserved for requests of up
+    to `small_request_bytes`. The reception of a body is ended when nothing arrives for
+    `body_timeout_ms`, or earlier while memory is short.
+    """
+
+    max_connections: int = 0
+    max_head_fields: int = 256
+    small_request_bytes: int = 65_536
+    body_timeout_ms: int = 15_000
+
+
 @dataclasses.dataclass(frozen=True)
 class MetricsPage:
     """The port that serves metrics as text; 0 disables it."""
@@ -297,6 +327,7 @@
     agent: AgentRole = AgentRole()
     control: ControlRole = ControlRole()
     gateway: GatewayRole = GatewayRole()
+    intake: Intake = Intake()
     metrics: MetricsPage = MetricsPage()
     auth: Auth = Auth()
     log: Log = Log()
@@ -449,7 +480,7 @@
 
 def find_number_problems(loaded):
     """Yield the problems of integers that must be positive and are not."""
-    for table in ("entry", "agent", "control", "gateway"):
+    for table in ("entry", "agent", "control", "gateway", "intake"):
         record = getattr(loaded, table)
         for field in dataclasses.fields(record):
             value = getattr(record, field.name)
--- a/brasstrail/tools/pages.py
+++ b/brasstrail/tools/pages.py
@@ -27,6 +27,7 @@
     ("control", settings.ControlRole),
     ("gateway", settings.GatewayRole),
     ("gateway.link_cost_ms_per_kb", settings.LinkCost),
+    ("intake", settings.Intake),
     ("metrics", settings.MetricsPage),
     ("auth.tokens", settings.Token),
     ("log", settings.Log),
