--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -315,6 +315,7 @@
     departures : `departures.Departures`, the servers that leave.
     rng : `random.Random`, which draws among servers that are equally good.
     zones : `zones.Zones`, or None if distances only add constants to scores.
+    is_held : whether the last work waits although a server elsewhere has room.
     """
 
     def __init__(self, node, regions):
@@ -337,6 +338,7 @@
         self.departures = departures.Departures()
         self.rng = random.Random()
         self.zones = None
+        self.is_held = False
 
     # Server state.
 
@@ -540,6 +542,7 @@
         without_permit = []
         reason = ""
         self.wanted = []
+        self.is_held = False
         if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
             return None
         for identity, server in openings.servers.items():
@@ -556,6 +559,7 @@
             found = [(each.score_ms, each.identity, each.server) for each in candidates]
             selection = self.zones.select(found, work, tried, now_ms, self, openings)
             best, reason = None, selection.reason
+            self.is_held = selection.best is None and bool(found)
             if selection.best is not None:
                 best = loadreports.Candidate(*selection.best)
         self.wanted = [
@@ -849,8 +853,8 @@
             is_owed = ticket in owed_tickets
             choice = self.choose(work, tried, now_ms, openings, is_owed)
             if choice is None:
-                # With `zones`, others of the group may leave the data centre before it.
-                if not tried and (self.zones is None or not openings.servers):
+                # Others of its group may leave the data centre before a held request.
+                if not tried and not self.is_held:
                     blocked[group] = self.wanted
                 continue
             self.remove_waiting(ticket)
--- a/brasstrail/roles/explaining.py
+++ b/brasstrail/roles/explaining.py
@@ -119,7 +119,7 @@
     answer["rank"] = list(rank)
     call = make_call(question, key)
     if access is not None:
-        answer["workspace"] = explain_allotment(gateway, access, call)
+        answer["workspace"] = explain_allotment(gateway, access, call, route)
     now_ms = clock.now_ms()
     deadline_ms = now_ms + admitting.request_timeout_ms(route, call)
     answer["services"] = [
@@ -175,7 +175,7 @@
     )
 
 
-def explain_allotment(gateway, access, call):
+def explain_allotment(gateway, access, call, route):
     """Return the standing of a workspace, with the request's cost.
 
     Raises `refusals.Refused` if the request is beyond the allotment.
@@ -187,7 +187,7 @@
     allotments = copy_allotments(gateway.allotments, access.workspace)
     standing = allotments.standing(access.workspace, now_ms)
     cost = admitting.allotment_cost(call, access.allotment)
-    wait_s = allotments.acquire(access.workspace, cost, now_ms)
+    wait_s = allotments.acquire(access.workspace, cost, now_ms, route.tier)
     if wait_s:
         wait_s = max(admitting.MIN_RETRY_S, wait_s)
         raise refusals.Refused(429, "allotment", wait_s)
@@ -312,6 +312,8 @@
     probe = copy.copy(server_pool)
     probe.wants, probe.wanted = {}, []
     probe.rank_shares = copy.copy(server_pool.rank_shares)
+    probe.estimates = copy.deepcopy(server_pool.estimates)
+    probe.rng = copy.deepcopy(server_pool.rng)
     if server_pool.zones is not None:
         probe.zones = copy.copy(server_pool.zones)
         probe.zones.distances = {}
@@ -327,6 +329,7 @@
     probe = copy.copy(allotments)
     probe.buckets = {workspace: copy.copy(allotments.buckets[workspace])}
     probe.spent = {workspace: allotments.spent.get(workspace, 0.0)}
+    probe.tiers = copy.deepcopy(allotments.tiers)
     # The real ones look for silent gateways; that sets levels of all buckets aside.
     probe.next_silence_check_ms = float("inf")
     return probe
--- a/brasstrail/roles/explaining_test.py
+++ b/brasstrail/roles/explaining_test.py
@@ -32,6 +32,7 @@
     def __init__(self, role, listening):
         self.settings = listening
         self.gateway = role
+        self.hub = role.hub
         self.metrics = role.metrics
         self.stack = contextlib.ExitStack()
 
