Leave out only servers with a queue that no gateway has told

Cause: with the rule "a server that reports a queue is not chosen while another has a free slot", load reports cost worth: a fast engine with a short queue answers sooner than a slow one with a free slot, and reports are ahead of the load shares of other gateways, so that a queue was seen twice.

Change: such a server is left out only if its report counts at least three requests more than the gateways have told of. Requests of gateways are part of the score as before.

--- a/brasstrail/coordination/loadreports.py
+++ b/brasstrail/coordination/loadreports.py
@@ -39,6 +39,9 @@
 SCORE_MARGIN_FRACTION = 0.1
 MIN_SCORE_MARGIN_MS = 5.0
 MAX_SCORE_MARGIN_MS = 25.0
+# So many requests of which no gateway has told count as a queue: fewer may be ones that
+# gateways have dispatched and not told yet, which takes up to 50 ms.
+MIN_UNKNOWN_REQUESTS = 3
 TOKEN_TIME_SMOOTHING_FACTOR = 0.2
 # Reports that a gateway passes on in one message: a gateway gets answers of few servers
 # within a second, and a message has to fit into a datagram.
@@ -113,12 +116,14 @@
 
         It is the last one, which fades to the average.
         """
-        age_ms = self.age_ms(now_ms)
-        if self.slow_factor is None or age_ms > FACTOR_EXPIRY_MS:
+        if self.slow_factor is None or self.report.host_factor is None:
             return None
-        if self.report.host_factor is None:
+        age_ms = self.age_ms(now_ms)
+        if age_ms > FACTOR_EXPIRY_MS:
             return None
-        weight = max(0.0, 1.0 - age_ms / FAST_FADE_MS)
+        if age_ms >= FAST_FADE_MS:
+            return self.slow_factor
+        weight = 1.0 - age_ms / FAST_FADE_MS
         return self.slow_factor + weight * (self.report.host_factor - self.slow_factor)
 
     def slowdown(self, learned, now_ms):
@@ -196,8 +201,9 @@
     """Return the candidate to choose, or None if there is none.
 
     Without host factors it is the one with the lowest score, the first of several. Of
-    servers that tell host factors, one that has no free slot is left out while another
-    one has, and one is drawn of those whose scores are nearly the lowest.
+    servers that tell host factors, one with a queue that the gateways do not know of is
+    left out while another one has a free slot, and one is drawn of those whose scores
+    are nearly the lowest.
 
     Parameters
     ----------
@@ -208,26 +214,38 @@
     best = min(candidates, key=lambda each: each.score_ms, default=None)
     if best is None or best.server.host.factor(now_ms) is None:
         return best
-    if is_queued(best.server, now_ms):
+    is_best_queued = is_queued(best.server, now_ms)
+    if is_best_queued:
         free = [each for each in candidates if has_free_slot(each.server, now_ms)]
+        best = min(free, key=lambda each: each.score_ms, default=best)
         candidates = free or candidates
-        best = min(candidates, key=lambda each: each.score_ms)
     margin_ms = max(MIN_SCORE_MARGIN_MS, SCORE_MARGIN_FRACTION * best.score_ms)
     limit_ms = best.score_ms + min(MAX_SCORE_MARGIN_MS, margin_ms)
-    is_free = has_free_slot(best.server, now_ms)
     near = [
         each
         for each in candidates
         if each.score_ms <= limit_ms
         and each.server.host.factor(now_ms) is not None
-        and has_free_slot(each.server, now_ms) >= is_free
+        and (is_best_queued or not is_queued(each.server, now_ms))
     ]
     return rng.choice(near) if len(near) > 1 else best
 
 
 def is_queued(server, now_ms):
-    """Return whether a fresh report says that requests wait at a server."""
-    return server.host.tells_counts(now_ms) and not has_free_slot(server, now_ms)
+    """Return whether requests wait at a server of which no gateway has told.
+
+    Requests of gateways are part of its score. If those alone made a queue, a slow
+    server with a free slot would be chosen where a fast one with a short queue answers
+    sooner.
+    """
+    host = server.host
+    if not host.tells_counts(now_ms):
+        return False
+    unknown = host.report.running + host.report.waiting - server.total_running
+    if unknown < MIN_UNKNOWN_REQUESTS:
+        return False
+    present = host.present_requests(server.total_running, now_ms)
+    return present > server.announcement.slots
 
 
 def has_free_slot(server, now_ms):
--- a/brasstrail/emulator/emulator_test.py
+++ b/brasstrail/emulator/emulator_test.py
@@ -109,5 +109,30 @@
             self.assertEqual(gateway.waiting, {})
 
 
+class UnevenEnginesTest(unittest.TestCase):
+    """A third of the engines are fast, and each is slow by turns."""
+
+    def test_reports_reach_all_gateways_and_no_request_is_lost(self):
+        """Guards against an emulation in which the reports change nothing."""
+        phases = (load.Phase(1000, 1.0),)
+        simulation = experiment.Simulation(
+            random.Random(1),
+            load.KINDS_K,
+            phases,
+            tool.POLICIES["ranked"],
+            experiment.SETUP_K,
+        )
+        simulation.run()
+        for result in simulation.results.values():
+            self.assertNotEqual(result.is_refused, result.is_complete)
+        for gateway in simulation.gateways:
+            told = [
+                identity
+                for identity, server in gateway.servers.items()
+                if server.host.slow_factor is not None
+            ]
+            self.assertGreater(len(told), len(gateway.servers) / 2)
+
+
 if __name__ == "__main__":
     unittest.main()
