Hold no request that may be refused later; tell when there is room

Cause: chats that would be late were admitted when the estimate was just within their deadline, and refused 1 to 3 s later as it grew. Retry-After had the wait of a late request, and at most 5 s.

Change: at arrival, the part of a wait that lies beyond the goal counts ten times for the lowest rank, once for the highest, and by the square of the depth between. What has been admitted is judged by the estimate itself. Retry-After is the time until what waits now has started (0.1 to 10 s), plus a random part of up to its own length. Where servers name limits, or none accepts work, waits are estimated from the rate of starts as before; places do not describe these. The emulator's callers may try again at once.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -563,17 +563,19 @@
 
     def usable_fraction(self, service, rank, now_ms):
         """Return the fraction of a service's capacity that a rank may use."""
-        active_ranks = sorted(
+        depth = self.depth(service, rank, now_ms)
+        return 1.0 - RESERVED_CAPACITY_FRACTION * depth * depth
+
+    def depth(self, service, rank, now_ms):
+        """Return how low a rank is among the active ones, 0 (highest) to 1 (lowest)."""
+        active_ranks = {
             other
             for other, arrived_ms in self.rank_arrivals_ms.get(service, {}).items()
             if now_ms - arrived_ms <= RANK_ACTIVITY_WINDOW_MS
-        )
+        }
         higher_ranks = sum(other < rank for other in active_ranks)
-        if not higher_ranks:
-            return 1.0
         # The rank itself counts as active while a request of it waits.
-        depth = higher_ranks / max(1, len({*active_ranks, rank}) - 1)
-        return 1.0 - RESERVED_CAPACITY_FRACTION * depth * depth
+        return higher_ranks / max(1, len(active_ranks | {rank}) - 1)
 
     def usable_capacity(self, work, now_ms):
         """Return the capacity of the servers that may run a work now, and its use.
@@ -824,6 +826,11 @@
         forecast = waits.Forecast(self, now_ms + rest_ms)
         return rest_ms + forecast.arrival_wait_ms(work)
 
+    def room_wait_ms(self, work, now_ms):
+        """Return when there will be room for a request that comes again, in ms."""
+        rest_ms = self.rest_wait_ms(work, now_ms)
+        return rest_ms + waits.Forecast(self, now_ms + rest_ms).room_wait_ms(work)
+
     def is_owed_next(self, work):
         """Return whether a rank is owed more requests than those of it that wait."""
         same_rank = sum(
--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -31,6 +31,10 @@
 USUAL_TIME_CONSTANT_MS = 20_000.0
 # Lowest number of places, and of servers that prefill, that a wait is based on.
 MIN_LEFT_PLACES = 0.05
+# Where servers name limits: the lowest capacity that a wait is based on, and the
+# fraction of it that is left to a rank at least.
+MIN_CAPACITY = 0.01
+MIN_LEFT_FRACTION = 0.1
 # A rank of which this part of a decayed arrival is left has no demand to speak of.
 MIN_COUNT = 0.02
 # Prefill time and time for an output token that are assumed before a measurement; the
@@ -52,6 +56,12 @@
 # eighth of any goal in use, for which callers lose nothing by being held.
 MIN_MISSES = 2
 MISS_MARGIN = 1.15
+# At its arrival, a request of the lowest rank that will miss its goal is admitted only
+# if it would be served in time even if that took this many times as long: it depends on
+# what arrives later, and a request that is held and then refused loses more than one
+# that is refused at once. For ranks between, the factor grows with the square of their
+# depth.
+LATE_MARGIN = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -294,6 +304,15 @@
         told = self.totals.get(key, Row()).demand
         return told + self.flows[key].demand(now_ms) if key in self.flows else told
 
+    def higher_rate(self, service, rank, now_ms):
+        """Return how many requests above a rank arrive here per ms."""
+        rate = 0.0
+        for key, flow in self.flows.items():
+            if key[0] == service and key[1] < rank:
+                flow.decay(now_ms)
+                rate += flow.count / DEMAND_TIME_CONSTANT_MS
+        return rate
+
     def higher_demand(self, service, rank, gateway_count, now_ms):
         """Return the `Need` per ms of the ranks above one, over all gateways."""
         total = Need()
@@ -429,13 +448,36 @@
 
     def arrival_wait_ms(self, work):
         """Return how long a work waits that arrives now."""
+        if not self.is_known(work):
+            return self.limited_wait_ms(work)
         own = self.own_ahead(work)
         above, told = self.told_ahead(work)
         ahead = own + above + told
-        return 0.0 if ahead == Need() else self.wait_ms(work, ahead)
+        if ahead == Need():
+            return 0.0
+        depth = self.pool.depth(work.service, work.rank, self.now_ms)
+        return self.wait_ms(work, ahead, 1.0 + (LATE_MARGIN - 1.0) * depth * depth)
+
+    def room_wait_ms(self, work):
+        """Return when there is room for a work that arrives then and not now, in ms.
+
+        What waits now has started by then.
+        """
+        if not self.is_known(work):
+            return self.limited_wait_ms(work)
+        above, told = self.told_ahead(work)
+        ahead = self.own_ahead(work) + above + told
+        scale = self.estimates.others_scale(self.pool.gateway_count)
+        return self.paces(work)[0].wait_ms(ahead.times(scale))
+
+    def wait_ms(self, work, ahead, late_margin=1.0):
+        """Return how long a work waits.
 
-    def wait_ms(self, work, ahead):
-        """Return how long a work waits; `ahead` is the `Need` queued before it."""
+        Parameters
+        ----------
+        ahead : the `Need` queued before it.
+        late_margin : factor of the wait from the goal on.
+        """
         ahead = ahead.times(self.estimates.others_scale(self.pool.gateway_count))
         pace, late_pace = self.paces(work)
         wait_ms = pace.wait_ms(ahead)
@@ -444,7 +486,30 @@
             return wait_ms
         # From its goal on, the work is behind all of its rank that are not late.
         left_fraction = 1.0 - goal_left_ms / wait_ms
-        return goal_left_ms + late_pace.wait_ms(ahead) * left_fraction
+        late_ms = late_pace.wait_ms(ahead) * left_fraction
+        return goal_left_ms + late_margin * late_ms
+
+    def limited_wait_ms(self, work):
+        """Return how long a work waits that arrives now, by the rate of starts.
+
+        For services whose capacity in places is not known. Every other gateway is taken
+        to have as many requests waiting as this one.
+        """
+        ahead = sum(
+            other.service == work.service
+            and other.rank <= work.rank
+            and self.pool.compete(other, work)
+            for other, _ in self.pool.waiting.values()
+        )
+        places, _, _ = self.shared("capacity", work.service, work.software)
+        interval_ms = (
+            self.pool.service_time_ms(work.service)
+            * self.pool.gateway_count
+            / max(MIN_CAPACITY, places)
+        )
+        rate = self.estimates.higher_rate(work.service, work.rank, self.now_ms)
+        left_fraction = max(MIN_LEFT_FRACTION, 1.0 - rate * interval_ms)
+        return ahead * interval_ms / left_fraction
 
     def paces(self, work):
         """Return the `Pace` of a rank's works before and after their goal."""
--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -29,16 +29,28 @@
     def test_burst_of_lowest_kind_is_refused_early_and_harms_no_urgent_request(self):
         """Guards against chats that are held, for 14.6 s before, and then refused."""
         outcomes = simulate(load.LARGE_PHASES["burst of chats"])
-        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        self.assertLess(held_ms(outcomes, CHATS), 500)
         for outcome in outcomes:
             self.assertEqual(outcome.kinds[URGENT].refused, 0)
             self.assertGreater(outcome.kinds[URGENT].utility_fraction, 0.95)
 
     def test_burst_of_long_prompts_is_refused_early(self):
         outcomes = simulate(load.LARGE_PHASES["burst of prompts"])
-        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        self.assertLess(held_ms(outcomes, CHATS), 500)
         self.assertEqual(sum(each.kinds[URGENT].refused for each in outcomes), 0)
 
+    def test_callers_that_repeat_at_once_harm_no_urgent_request(self):
+        """Guards against repeated requests that crowd out others as demand."""
+        phases = load.LARGE_PHASES["burst of chats"]
+        for seed in SEEDS:
+            outcome = experiment.simulate_large(
+                seed, phases, retries=5, heeds_retry_after=False
+            )
+            self.assertEqual(outcome.kinds[URGENT].refused, 0)
+            self.assertGreater(outcome.kinds[URGENT].utility_fraction, 0.95)
+            chats = outcome.kinds[CHATS]
+            self.assertLess(chats.refused, 0.5 * chats.request_count)
+
     def test_nothing_is_refused_in_calm(self):
         """Guards against refusals while servers have free places."""
         for outcome in simulate(load.LARGE_PHASES["calm"]):
@@ -58,7 +70,7 @@
         speed = engine.EngineSpeed(slots=load.LARGE_SLOTS, step_ms=load.LARGE_STEP_MS)
         phases = load.LARGE_PHASES["burst of chats"]
         simulation = experiment.Simulation(
-            random.Random(1), load.LARGE_KINDS, phases, pool.Pool, speed, True
+            random.Random(1), load.LARGE_KINDS, phases, pool.Pool, speed, 1
         )
         simulation.run()
         short, long = [], []
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -38,6 +38,8 @@
 # Callers try once more if Retry-After is at most this fraction of the time they have
 # left.
 MAX_RETRY_WAIT_FRACTION = 1 / 3
+# Round trip of callers that try again at once.
+CALLER_DELAY_MS = 10.0
 
 
 @dataclasses.dataclass
@@ -121,15 +123,25 @@
     kinds, phases : the load.
     make_pool : returns the pool of a gateway, from its `settings.Node` and the regions.
     speed : the `engine.EngineSpeed` of all engines but for their slowdown.
-    retries : whether refused callers try once more at another gateway.
+    retries : how often refused callers try again, each time at any gateway.
+    heeds_retry_after : whether they do so after the time that the refusal names; else
+        at once.
     """
 
     def __init__(
-        self, rng, kinds, phases, make_pool, speed=engine.EngineSpeed(), retries=False
+        self,
+        rng,
+        kinds,
+        phases,
+        make_pool,
+        speed=engine.EngineSpeed(),
+        retries=0,
+        heeds_retry_after=True,
     ):
         self.rng = rng
         self.speed = speed
         self.retries = retries
+        self.heeds_retry_after = heeds_retry_after
         self.now_ms = 0.0
         self.event_numbers = itertools.count()
         self.events = []
@@ -237,15 +249,17 @@
         )
 
     def refuse(self, arrival):
-        """Refuse an attempt; the caller may try once more at another gateway."""
+        """Refuse an attempt; the caller may try again at another gateway."""
         result = self.results[arrival.identity]
         result.held_ms += self.now_ms - result.attempted_ms
         work = self.make_work(arrival)
         gateway = self.gateways[arrival.gateway]
-        wait_ms = gateway.expected_wait_ms(work, int(self.now_ms))
-        wait_ms = min(5000.0, max(100.0, wait_ms)) * self.rng.uniform(1.0, 1.5)
+        wait_ms = gateway.room_wait_ms(work, int(self.now_ms))
+        wait_ms = min(10_000.0, max(100.0, wait_ms)) * self.rng.uniform(1.0, 2.0)
         left_ms = work.caller_deadline_ms - self.now_ms
-        if not self.retries or result.attempts > 1:
+        if not self.heeds_retry_after:
+            wait_ms = CALLER_DELAY_MS
+        if result.attempts > self.retries:
             result.is_refused = True
         elif wait_ms > MAX_RETRY_WAIT_FRACTION * left_ms:
             result.is_refused = True
@@ -456,15 +470,23 @@
     return simulation.outcome()
 
 
-def simulate_large(seed, phases, make_pool=pool.Pool):
-    """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try once more."""
+def simulate_large(
+    seed, phases, make_pool=pool.Pool, retries=1, heeds_retry_after=True
+):
+    """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try again."""
     speed = engine.EngineSpeed(
         slots=load.LARGE_SLOTS,
         step_ms=load.LARGE_STEP_MS,
         prefill_tokens_per_ms=load.LARGE_PREFILL_TOKENS_PER_MS,
     )
     simulation = Simulation(
-        random.Random(seed), load.LARGE_KINDS, phases, make_pool, speed, True
+        random.Random(seed),
+        load.LARGE_KINDS,
+        phases,
+        make_pool,
+        speed,
+        retries,
+        heeds_retry_after,
     )
     simulation.run()
     return simulation.outcome()
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -24,11 +24,13 @@
 # Limit on attempts at servers that proved not to have run the request.
 MAX_NOT_RUN_ATTEMPTS = 3
 MIN_SERVICE_TIME_MS = 30
-# Retry-After is the expected wait plus a random part of up to twice this fraction,
-# so that the callers do not all retry at the same time.
-RETRY_JITTER_FRACTION = 0.25
+# Retry-After is the time until there is room, at least this, plus a random part of up
+# to the same length, so that the callers do not all return at one moment. Bursts last
+# up to 10 s, so that no estimate says anything of what comes after that. When servers
+# rest, the random part is up to half of the rest.
 MIN_RETRY_S = 0.1
-MAX_RETRY_S = 5.0
+MAX_RETRY_S = 10.0
+REST_SPREAD_FRACTION = 0.5
 NO_SERVER_RETRY_S = 1.0
 # A request waits for the gateway's lease no longer than a leader election and one
 # quorum round take, and for only a fraction of the caller's deadline, so that most of
@@ -407,13 +409,13 @@
         )
 
     def retry_after_s(self):
-        """Return the expected wait in seconds, with jitter to spread the retries."""
-        server_pool = self.gateway.pool
-        wait_s = server_pool.expected_wait_ms(self.work(), clock.now_ms()) / 1000
-        wait_s = min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
-        rest_s = server_pool.rest_wait_ms(self.work(), clock.now_ms()) / 1000
-        jitter_s = wait_s * random.uniform(0.0, 2 * RETRY_JITTER_FRACTION)
-        return max(wait_s, rest_s) + jitter_s
+        """Return when there will be room, in seconds, spread by its own length."""
+        server_pool, work, now_ms = self.gateway.pool, self.work(), clock.now_ms()
+        rest_s = server_pool.rest_wait_ms(work, now_ms) / 1000
+        room_s = server_pool.room_wait_ms(work, now_ms) / 1000
+        wait_s = max(MIN_RETRY_S, rest_s + min(MAX_RETRY_S, room_s - rest_s))
+        spread_s = max(wait_s - rest_s, rest_s * REST_SPREAD_FRACTION)
+        return wait_s + random.uniform(0.0, spread_s)
 
     # Retries.
 
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -363,6 +363,19 @@
         self.assertEqual(status, 503)
         self.assertIn("retry-after", headers)
 
+    async def test_request_that_will_not_be_served_is_refused_while_it_waits(self):
+        """Guards against requests that are held for all their time and then refused."""
+        (server,) = await self.serve([scripted.reply()])
+        server_pool = self.gateway.pool
+        server_pool.has_capacity = lambda server, now_ms: False
+        server_pool.find_unserved = lambda now_ms: list(server_pool.latest_ms)
+        status, headers, _ = await self.call("unsafe", X_Deadline_Ms="9000")
+        self.assertEqual((status, server.requests), (503, []))
+        self.assertTrue(0.1 <= float(headers["retry-after"]) <= 20)
+        line = self.last_request_line()
+        self.assertEqual((line["outcome"], line["predicted_wait_ms"]), ("no_room", 0))
+        self.assertLess(line["total_ms"], 3000)
+
     async def test_caller_disconnect_closes_server_connection(self):
         (server,) = await self.serve([scripted.never_answer])
         _, writer = await self.connect()
