Refuse nothing by estimate while a place is free

Cause: the estimate counted the expected demand of higher ranks against places that are free now, so that a request could be refused at arrival although it would start at once (another gateway had just told of a request that waits).

Change: work ahead that fits into the places that a rank may use and that are free waits for prefill alone.

Test of the model.

--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -146,7 +146,8 @@
         # Places of this rank and lower ones that must come free before a work starts.
         excess = lower + 1.0 - left
         speed = max(MIN_LEFT_PLACES, self.prefill_speed - higher.prefill_ms)
-        return Pace(excess * own.slot_ms, max(left, lower), speed)
+        free_ms = (self.usable - self.running - 1.0) * own.slot_ms
+        return Pace(excess * own.slot_ms, max(left, lower), speed, free_ms)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -155,16 +156,19 @@
 
     `excess_ms` is the time in places that is waited for before any of it starts (less
     than 0 if places are free), `places` how many places end, and `speed` how many
-    servers prefill for it.
+    servers prefill for it. Work of `free_ms` in places can start at this moment.
     """
 
     excess_ms: float
     places: float
     speed: float
+    free_ms: float
 
     def wait_ms(self, ahead):
         """Return how long a work waits, in ms, with a `Need` ahead of it."""
         slots_ms = max(0.0, ahead.slot_ms + self.excess_ms) / self.places
+        if ahead.slot_ms <= self.free_ms:
+            slots_ms = 0.0
         return max(slots_ms, ahead.prefill_ms / self.speed)
 
 
--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -110,6 +110,14 @@
         self.assertTrue(0 < len(unserved) < 40)
         self.assertEqual(unserved, tickets[-len(unserved) :])
 
+    def test_nothing_is_refused_while_a_place_is_free(self):
+        """Guards against refusals by the demand that is expected but not there yet."""
+        standing = waits.Standing(20.0, 15, higher_running=9, prefill_speed=4.0)
+        own, higher = waits.Need(3000.0, 40.0), waits.Need(25.0, 2.0)
+        pace = standing.pace(own, higher)
+        self.assertLess(pace.wait_ms(own), 100)
+        self.assertGreater(pace.wait_ms(own.times(6)), 5000)
+
     def test_single_tick_refuses_nothing(self):
         gateway_pool = self.make_full_pool(40, latest_ms=200)
         self.assertEqual(self.find_unserved(gateway_pool, 1), [])
