--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -29,16 +29,28 @@
     def test_burst_of_lowest_kind_is_refused_early_and_harms_no_urgent_request(self):
         """Guards against chats that are held, for 14.6 s before, and then refused."""
         outcomes = simulate(load.LARGE_PHASES["burst of chats"])
-        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        self.assertLess(held_ms(outcomes, CHATS), 500)
         for outcome in outcomes:
             self.assertEqual(outcome.kinds[URGENT].refused, 0)
             self.assertGreater(outcome.kinds[URGENT].utility_fraction, 0.95)
 
     def test_burst_of_long_prompts_is_refused_early(self):
         outcomes = simulate(load.LARGE_PHASES["burst of prompts"])
-        self.assertLess(held_ms(outcomes, CHATS), 3000)
+        self.assertLess(held_ms(outcomes, CHATS), 500)
         self.assertEqual(sum(each.kinds[URGENT].refused for each in outcomes), 0)
 
+    def test_callers_that_repeat_at_once_harm_no_urgent_request(self):
+        """Guards against repeated requests that crowd out others as demand."""
+        phases = load.LARGE_PHASES["burst of chats"]
+        for seed in SEEDS:
+            outcome = experiment.simulate_large(
+                seed, phases, retries=5, heeds_retry_after=False
+            )
+            self.assertEqual(outcome.kinds[URGENT].refused, 0)
+            self.assertGreater(outcome.kinds[URGENT].utility_fraction, 0.95)
+            chats = outcome.kinds[CHATS]
+            self.assertLess(chats.refused, 0.5 * chats.request_count)
+
     def test_nothing_is_refused_in_calm(self):
         """Guards against refusals while servers have free places."""
         for outcome in simulate(load.LARGE_PHASES["calm"]):
@@ -62,7 +74,7 @@
             load.LARGE_KINDS,
             phases,
             pool.Pool,
-            experiment.Setup(speed=speed, retries=True),
+            experiment.Setup(speed=speed, retries=1),
         )
         simulation.run()
         short, long = [], []
@@ -102,6 +114,14 @@
         self.assertTrue(0 < len(unserved) < 40)
         self.assertEqual(unserved, tickets[-len(unserved) :])
 
+    def test_nothing_is_refused_while_a_place_is_free(self):
+        """Guards against refusals by the demand that is expected but not there yet."""
+        standing = waits.Standing(20.0, 15, higher_running=9, prefill_speed=4.0)
+        own, higher = waits.Need(3000.0, 40.0), waits.Need(25.0, 2.0)
+        pace = standing.pace(own, higher)
+        self.assertLess(pace.wait_ms(own), 100)
+        self.assertGreater(pace.wait_ms(own.times(6)), 5000)
+
     def test_single_tick_refuses_nothing(self):
         gateway_pool = self.make_full_pool(40, latest_ms=200)
         self.assertEqual(self.find_unserved(gateway_pool, 1), [])
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -40,6 +40,8 @@
 # Callers try once more if Retry-After is at most this fraction of the time they have
 # left.
 MAX_RETRY_WAIT_FRACTION = 1 / 3
+# Round trip of callers that try again at once.
+CALLER_DELAY_MS = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -47,9 +49,10 @@
     """The gateways and engines of a simulation.
 
     `slowdowns` has the `engine.EngineSpeed.slowdown` of each engine. `has_slow_moments`
-    is whether each engine is slow for a second or two at times, `reports_load` whether
-    answers tell the load and the host factor of their engine, and `retries` whether
-    refused callers try once more at another gateway.
+    is whether each engine is slow for a second or two at times, and `reports_load`
+    whether answers tell the load and the host factor of their engine. Refused callers
+    try again `retries` times, each time at any gateway, after the time that the refusal
+    names if `heeds_retry_after`, else at once.
     """
 
     gateway_count: int = 8
@@ -57,7 +60,8 @@
     speed: engine.EngineSpeed = engine.EngineSpeed()
     has_slow_moments: bool = False
     reports_load: bool = False
-    retries: bool = False
+    retries: int = 0
+    heeds_retry_after: bool = True
 
 
 # The engines of the two deployments in docs/design/LOAD.md. They have fewer gateways
@@ -290,15 +294,17 @@
         )
 
     def refuse(self, arrival):
-        """Refuse an attempt; the caller may try once more at another gateway."""
+        """Refuse an attempt; the caller may try again at another gateway."""
         result = self.results[arrival.identity]
         result.held_ms += self.now_ms - result.attempted_ms
         work = self.make_work(arrival)
         gateway = self.gateways[arrival.gateway]
-        wait_ms = gateway.expected_wait_ms(work, int(self.now_ms))
-        wait_ms = min(5000.0, max(100.0, wait_ms)) * self.rng.uniform(1.0, 1.5)
+        wait_ms = gateway.room_wait_ms(work, int(self.now_ms))
+        wait_ms = min(10_000.0, max(100.0, wait_ms)) * self.rng.uniform(1.0, 2.0)
         left_ms = work.caller_deadline_ms - self.now_ms
-        if not self.setup.retries or result.attempts > 1:
+        if not self.setup.heeds_retry_after:
+            wait_ms = CALLER_DELAY_MS
+        if result.attempts > self.setup.retries:
             result.is_refused = True
         elif wait_ms > MAX_RETRY_WAIT_FRACTION * left_ms:
             result.is_refused = True
@@ -541,12 +547,14 @@
     return simulation.outcome()
 
 
-def simulate_large(seed, phases, make_pool=pool.Pool):
-    """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try once more."""
+def simulate_large(
+    seed, phases, make_pool=pool.Pool, retries=1, heeds_retry_after=True
+):
+    """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try again."""
     speed = engine.EngineSpeed(
         slots=load.LARGE_SLOTS,
         step_ms=load.LARGE_STEP_MS,
         prefill_tokens_per_ms=load.LARGE_PREFILL_TOKENS_PER_MS,
     )
-    setup = Setup(speed=speed, retries=True)
+    setup = Setup(speed=speed, retries=retries, heeds_retry_after=heeds_retry_after)
     return simulate(seed, load.LARGE_KINDS, phases, make_pool, setup)
