Hold silent servers and deaf leaders apart when a roll-out is judged

Cause: a version all of whose servers have fallen silent after the switch would have been completed, since connections that fail are no answers; and a leader that hears of no server, having just started, says nothing against a version. The window of the judgement kept one entry for each report of each gateway.

Change: only servers that are not silent count, unless none of the service is heard of; the window keeps one entry for each look.

--- a/brasstrail/coordination/rollouts.py
+++ b/brasstrail/coordination/rollouts.py
@@ -133,8 +133,15 @@
         delta = dataclasses.replace(delta, cuts=counted)
         add_counts(self.total, delta, 1)
         if is_recent:
+            self.add_to_window(delta, now_ms)
+
+    def add_to_window(self, delta, now_ms):
+        """Add to the window, with what has come since the last look."""
+        add_counts(self.window, delta, 1)
+        if self.deltas and now_ms - self.deltas[-1][0] < LOOK_INTERVAL_MS:
+            add_counts(self.deltas[-1][1], delta, 1)
+        else:
             self.deltas.append((now_ms, delta))
-            add_counts(self.window, delta, 1)
 
     def expire(self, now_ms):
         """Drop what the window no longer holds."""
--- a/brasstrail/roles/rollouts.py
+++ b/brasstrail/roles/rollouts.py
@@ -207,16 +207,22 @@
         self.hub.spawn(self.commit(rollout, step))
 
     def surroundings(self, rollout):
-        """Return the `judging.Surroundings` of a decision."""
+        """Return the `judging.Surroundings` of a decision.
+
+        A host that hears of no server of the service at all has just started or was
+        held up itself, and says nothing against the new version.
+        """
         listed = self.publisher.gateways
-        known = self.publisher.registry.directory.known.values()
-        has_servers = any(
-            each.announcement.service == rollout.service
-            and each.announcement.version == rollout.to
+        server_registry = self.publisher.registry
+        versions = {
+            each.announcement.version
+            for identity, each in server_registry.directory.known.items()
+            if each.announcement.service == rollout.service
             and each.phase is servers.ServerPhase.READY
-            for each in known
-        )
+            and identity not in server_registry.silent
+        }
         names = listed.names if listed is not None else ()
+        has_servers = not versions or rollout.to in versions
         return judging.Surroundings(names, has_servers, clock.wall_ms())
 
     async def commit(self, rollout, step):
--- a/brasstrail/tools/datafolder_test.py
+++ b/brasstrail/tools/datafolder_test.py
@@ -60,6 +60,20 @@
         text = "\n".join(datafolder.describe(contents))
         self.assertIn("version 7", text)
 
+    def test_rollout_is_shown_with_the_reason_of_its_last_step(self):
+        order = commands.StartRollout(1000, "s", "v2", 60_000)
+        step = commands.AdvanceRollout(
+            2000, "s", 1000, 4, "reverted", 1, 0.0, "failures on chat"
+        )
+        with journal.Journal(self.path) as folder_journal:
+            folder_journal.load()
+            for index, command in ((4, order), (5, step)):
+                payload = codec.encode(codec.COMMAND, command)
+                self.persist(folder_journal, (messages.Entry(index, 1, payload),))
+        rows = datafolder.describe(datafolder.read(self.path))
+        expected = "roll-out     s to v2: reverted (failures on chat)"
+        self.assertIn(expected, rows)
+
     def test_export_writes_document_as_received(self):
         target = self.path / "document.json"
         datafolder.export_document(datafolder.read(self.path), target)
