Bound what unread answers use, and return freed memory

Cause: a trial of 300 unread answers of 983 kB at one gateway (limit 8 MiB) had a peak of 150 MB, and readiness checks got 503 in 22 of 34 cases. Answers went on to be received in the second before unread ones are cut; the heap kept what was freed; idle connections to servers (100) and those of callers together came to 240 of 256 descriptors.

Change: large answers of servers are paused from three quarters of the limit on, one at a time goes on, and none beyond the limit. Bodies and answers grow in one buffer instead of a list of parts. The C library returns large blocks at once, and the heap is trimmed after memory was short. A third of the descriptors bounds the idle connections to servers.

--- a/brasstrail/roles/daemon.py
+++ b/brasstrail/roles/daemon.py
@@ -19,7 +19,7 @@
 from brasstrail.protocol import dialects
 from brasstrail.roles import hub, logs, metrics
 from brasstrail.settings import settings
-from brasstrail.transport import listening
+from brasstrail.transport import heaps, listening
 
 DRAIN_POLL_S = 0.05
 MAX_ADMIN_BODY_BYTES = 8 * 1024 * 1024
@@ -252,6 +252,7 @@
 async def run(loaded, path):
     """Run a daemon with these settings."""
     configure_http()
+    heaps.return_freed_blocks()
     await Daemon(loaded, path=path).run()
 
 
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -74,7 +74,8 @@
         self.start_line = None
         self.headers = None
         self.refusal = None
-        self.chunks = []
+        # One growing buffer: many kept parts would fragment the heap.
+        self.body = bytearray()
 
     @property
     def keeps_body(self):
@@ -92,24 +93,24 @@
 
     def data_received(self, chunk):
         """Store a chunk of the body."""
-        self.chunks.append(chunk)
+        self.body += chunk
 
     def finish(self):
         """Serve the complete request."""
-        body = b"".join(self.chunks)
-        self.chunks = []
+        body = bytes(self.body)
+        self.body = bytearray()
         self.gateway.serve(
             self.connection, self.start_line, self.headers, body, self.refusal
         )
 
     def refuse(self, connection):
         """Answer that there is no room for the request, which has not run."""
-        self.chunks = []
+        self.body = bytearray()
         self.gateway.refuse_for_memory(connection, self.start_line, self.headers)
 
     def on_connection_close(self):
         """Discard the body if the caller disconnects before the request is complete."""
-        self.chunks = []
+        self.body = bytearray()
 
 
 class ConnectionDelegate(httputil.HTTPServerConnectionDelegate):
--- a/brasstrail/roles/intakewatch.py
+++ b/brasstrail/roles/intakewatch.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from brasstrail.transport import intake
+from brasstrail.transport import heaps, intake
 
 SWEEP_INTERVAL_MS = 500
 LOG_INTERVAL_MS = 1000
@@ -26,6 +26,7 @@
     limits = intake.Limits(
         intake.limit_held_bytes(held_bytes, memory_mb),
         options.max_connections or intake.limit_connections(memory_mb),
+        intake.limit_server_connections(),
         options.small_request_bytes,
         options.max_head_fields,
         options.body_timeout_ms,
@@ -69,6 +70,9 @@
             return
         self.next_sweep_ms = now_ms + SWEEP_INTERVAL_MS
         self.account.sweep(now_ms)
+        if self.account.was_short and not self.account.is_crowded:
+            self.account.was_short = False
+            heaps.trim()
         new = self.account.counts - self.reported
         self.reported += new
         for reason, count in new.items():
--- a/brasstrail/transport/intake.py
+++ b/brasstrail/transport/intake.py
@@ -55,7 +55,8 @@
 class Limits:
     """The limits of an account.
 
-    `held_bytes` is the limit on all held bytes, and `connections` that on connections.
+    `held_bytes` is the limit on all held bytes, and `connections` that on connections
+    of others; `server_connections` is how many idle ones to servers are kept.
     A request of up to `small_bytes` may use the part of the limit that is reserved. A
     head has at most `head_fields` fields. The reception of a body is ended when nothing
     arrives for `body_timeout_ms`.
@@ -63,6 +64,7 @@
 
     held_bytes: int = 32 * 1024 * 1024
     connections: int = 1024
+    server_connections: int = 512
     small_bytes: int = 65_536
     head_fields: int = 256
     body_timeout_ms: int = 15_000
@@ -89,6 +91,13 @@
     return max(MIN_CONNECTIONS, int(usable))
 
 
+def limit_server_connections():
+    """Return how many idle connections to servers are kept."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    usable = (descriptors - OTHER_DESCRIPTORS) * (1 - CALLER_DESCRIPTOR_FRACTION)
+    return max(MIN_CONNECTIONS, int(usable))
+
+
 class Account:
     """The bytes that others make a process hold.
 
@@ -102,6 +111,9 @@
     streams : the open `Stream`s, in the order of their opening.
     large_owner : the stream with the one large body that is taken even beyond the
         limit, or None. Without it, a large document would never fit.
+    answer_owner : the answer of a server that is received although memory is short, or
+        None. Without it, many partly received answers would wait for each other.
+    was_short : whether memory has been short since this was last reset.
     counts : how many requests were refused and connections closed, by reason.
     """
 
@@ -110,6 +122,8 @@
         self.held_bytes = 0
         self.streams = {}
         self.large_owner = None
+        self.answer_owner = None
+        self.was_short = False
         self.counts = collections.Counter()
         self.next_shed_ms = 0
         self.next_turn_ms = 0.0
@@ -119,6 +133,11 @@
         """Whether more bytes are held than the limit allows."""
         return self.held_bytes > self.limits.held_bytes
 
+    @property
+    def is_crowded(self):
+        """Whether only the part of the limit is left that small requests may use."""
+        return self.held_bytes > (1 - SMALL_FRACTION) * self.limits.held_bytes
+
     def add(self, size):
         """Count bytes that are already held; a negative size releases them."""
         self.held_bytes += size
@@ -142,6 +161,7 @@
         if now_ms < self.next_shed_ms:
             return
         self.next_shed_ms = now_ms + SHED_INTERVAL_MS
+        self.was_short = True
         stalled = [each for each in self.streams if each.is_stalled(now_ms)]
         limit = self.limits.held_bytes * (1 - SMALL_FRACTION - SHED_FRACTION)
         for stream in sorted(stalled, key=lambda each: each.progress_ms):
@@ -175,13 +195,26 @@
         if self.is_short:
             self.shed(now_ms)
 
-    async def wait_for_room(self):
-        """Wait while memory is short, up to `MAX_PAUSE_MS`."""
+    async def wait_for_room(self, answer):
+        """Wait while memory is short, up to `MAX_PAUSE_MS`, for a part of an answer.
+
+        One answer at a time does not wait, unless even the part for small requests is
+        used: answers that callers do not read would fill the memory one by one.
+        """
         latest_ms = clock.now_ms() + MAX_PAUSE_MS
-        while self.is_short and clock.now_ms() < latest_ms:
+        self.was_short = True
+        while self.is_crowded and clock.now_ms() < latest_ms:
+            if self.answer_owner in (None, answer) and not self.is_short:
+                self.answer_owner = answer
+                return
             self.shed(clock.now_ms())
             await asyncio.sleep(PAUSE_POLL_S)
 
+    def release_answer(self, answer):
+        """Let another answer be received while memory is short."""
+        if self.answer_owner is answer:
+            self.answer_owner = None
+
     async def wait_for_turn(self, cost_ms):
         """Wait until costly parsing may go on that has just taken `cost_ms`."""
         now_ms = 1000 * asyncio.get_running_loop().time()
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -16,7 +16,8 @@
 from brasstrail.core import bounds, clock, errors
 from brasstrail.transport import intake
 
-CHUNK_BYTES = 65536
+# Also what is read from the socket at once, for each connection.
+CHUNK_BYTES = 16_384
 MAX_HEADER_BYTES = 65536
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 # Chunks of an answer that are buffered until the reader has taken earlier ones.
@@ -137,7 +138,7 @@
         self.count(len(chunk))
         self.received_bytes += len(chunk)
         is_large = self.received_bytes > self.account.limits.small_bytes
-        is_held = is_large and self.account.is_short
+        is_held = is_large and self.account.is_crowded
         if self.buffered_bytes > MAX_BUFFERED_BYTES or is_held:
             return self.put_and_wait(chunk)
         return self.chunks.put(chunk)
@@ -145,7 +146,9 @@
     async def put_and_wait(self, chunk):
         """Queue a part of the body, and wait until there is room for more."""
         await self.chunks.put(chunk)
-        await self.account.wait_for_room()
+        await self.account.wait_for_room(self)
+        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+            self.account.release_answer(self)
         while self.buffered_bytes > MAX_BUFFERED_BYTES:
             self.has_room.clear()
             await self.has_room.wait()
@@ -238,6 +241,7 @@
             iostream.StreamClosedError, iostream.UnsatisfiableReadError
         ):
             await connection.read_response(answer)
+        self.account.release_answer(answer)
         answer.end = self.find_end(answer)
         if not answer.head.done():
             answer.head.set_exception(
@@ -278,17 +282,16 @@
         Raises `AnswerIncomplete` if it ended early, or `AnswerTooLarge` if it exceeds
         `max_bytes`.
         """
-        chunks = []
-        size = 0
+        # One growing buffer: many kept parts would fragment the heap.
+        body = bytearray()
         with contextlib.ExitStack() as stack:
             while (chunk := await self.read_chunk()) is not None:
                 self.account.add(len(chunk))
                 stack.callback(self.account.add, -len(chunk))
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > max_bytes:
+                body += chunk
+                if len(body) > max_bytes:
                     raise AnswerTooLarge("The answer's body exceeds the size limit.")
-            return b"".join(chunks)
+            return bytes(body)
 
     def try_mark_idle(self, keep_alive_timeout_s):
         """Mark the connection as idle; return whether it can be reused.
@@ -343,6 +346,7 @@
             self.read_task.cancel()
         if self.answer is not None:
             self.answer.count(-self.answer.buffered_bytes)
+            self.account.release_answer(self.answer)
         self.stream.close()
 
 
@@ -388,7 +392,7 @@
     """
 
     def __init__(self, account=None):
-        self.account = account
+        self.account = account or intake.Account()
         self.idle = {}
         self.client = tcpclient.TCPClient()
         self.opened_count = 0
@@ -435,13 +439,16 @@
             raise ConnectFailed(
                 "The connection was reset immediately after it was established."
             )
+        stream.read_chunk_size = CHUNK_BYTES
         stream.set_nodelay(True)
         set_silence_timeouts(stream.socket)
         return Upstream(stream, address, self.account)
 
     def release(self, upstream, identity, keep_alive_timeout_s):
         """Keep a connection whose request has ended for reuse, or close it."""
-        if upstream.try_mark_idle(keep_alive_timeout_s):
+        kept_count = sum(map(len, self.idle.values()))
+        has_room = kept_count < self.account.limits.server_connections
+        if has_room and upstream.try_mark_idle(keep_alive_timeout_s):
             key = (upstream.address, identity)
             self.idle.setdefault(key, []).append(upstream)
         else:
