--- a/brasstrail/transport/listening.py
+++ b/brasstrail/transport/listening.py
@@ -16,12 +16,12 @@
 from brasstrail.transport import framing, intake
 
 READ_BYTES = 16 * 1024
-# What a parsed field of a head was measured to use.
+# An estimate of what a parsed field of a head uses beside its text.
 FIELD_BYTES = 300
 # Lines of a head that are no fields: the first one, the last one, and one before.
 OTHER_HEAD_LINES = 3
-# A piece of a body with more chunks than this is costly to parse: 16 KiB in chunks of
-# 16 bytes take about a millisecond.
+# A piece of a body with more chunks than this is costly to parse: each chunk takes
+# several microseconds.
 DENSE_CHUNKS = 64
 # After a refusal, this much of what is still sent is read, so that the answer arrives.
 LINGER_BYTES = 256 * 1024
