--- a/brasstrail/coordination/loadreports.py
+++ b/brasstrail/coordination/loadreports.py
@@ -42,10 +42,6 @@
 # So many requests of which no gateway has told count as a queue: fewer may be ones that
 # gateways have dispatched and not told yet, which takes up to 50 ms.
 MIN_UNKNOWN_REQUESTS = 3
-# Requests beyond the slots of a server that ones of lower rank may take while urgent
-# ones arrive: on a fast host they leave a slot to these, on others they queue less.
-FAST_HOST_LOW_RANK_PLACES = -1
-SLOW_HOST_LOW_RANK_PLACES = 1
 TOKEN_TIME_SMOOTHING_FACTOR = 0.2
 # Reports that a gateway passes on in one message: a gateway gets answers of few servers
 # within a second, and a message has to fit into a datagram.
@@ -235,19 +231,6 @@
     return rng.choice(near) if len(near) > 1 else best
 
 
-def takes_low_rank(server, now_ms):
-    """Return whether a server has room for a request while more urgent ones arrive.
-
-    A host is fast if it takes less than the usual time.
-    """
-    factor = server.host.factor(now_ms)
-    if factor is None:
-        return True
-    is_fast = factor < 1.0
-    places = FAST_HOST_LOW_RANK_PLACES if is_fast else SLOW_HOST_LOW_RANK_PLACES
-    return server.total_running < max(1, server.announcement.slots + places)
-
-
 def is_queued(server, now_ms):
     """Return whether requests wait at a server of which no gateway has told.
 
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -545,12 +545,9 @@
         self.is_held = False
         if not is_owed and not self.has_capacity_for_rank(work, now_ms, openings):
             return None
-        is_outranked = not is_owed and self.is_outranked(work, now_ms)
         for identity, server in openings.servers.items():
             if identity in tried or not work.may_run_on(server):
                 continue
-            if is_outranked and not loadreports.takes_low_rank(server, now_ms):
-                continue
             score = self.score(server, work, now_ms)
             if server.is_limited and not server.has_permit(now_ms):
                 without_permit.append((score, identity))
@@ -592,18 +589,6 @@
             reason,
         )
 
-    def is_outranked(self, work, now_ms):
-        """Return whether more urgent routes of the service have had requests lately.
-
-        Those of workspaces that come after the work's own do not count.
-        """
-        return any(
-            rank < work.rank
-            and rank[1] < work.rank[1]
-            and now_ms - arrived_ms <= RANK_ACTIVITY_WINDOW_MS
-            for rank, arrived_ms in self.rank_arrivals_ms.get(work.service, {}).items()
-        )
-
     def find_openings(self, now_ms):
         """Return the `Openings` at a time."""
         self.drop_expired_load_shares(now_ms)
--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -61,7 +61,7 @@
 # what arrives later, and a request that is held and then refused loses more than one
 # that is refused at once. For ranks between, the factor grows with the square of their
 # depth.
-LATE_MARGIN = 10.0
+LATE_MARGIN = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
