Estimate waits only where servers report a host factor

Cause: the estimate took effect in every deployment. Change: services none of whose servers reports a host factor are judged by the rate of starts, as before this work, at arrival only, with the former Retry-After. Result: tests of waits, pool, emulator, gateway, limits and rests pass; the test of starts of higher ranks is back as it was, beside the one of their arrivals.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -301,6 +301,7 @@
     ----------
     peer_loads : `PeerLoad` by gateway, the one heard of longest ago first.
     waiting : (work, identities of servers already tried) by ticket.
+    recent_starts : (time, service, rank) of the starts in the rate window.
     latest_ms : the latest useful start of waiting requests by ticket, for those that
         may be refused before it.
     estimates : `waits.Estimates`, the demand from which waits are estimated.
@@ -326,6 +327,7 @@
         self.peer_loads = {}
         self.waiting = {}
         self.ticket_numbers = itertools.count()
+        self.recent_starts = collections.deque()
         self.latest_ms = {}
         self.estimates = waits.Estimates()
         self.rank_arrivals_ms = {}
@@ -865,6 +867,7 @@
             openings.record_start(choice.identity)
             if choice.permit is not None:
                 self.servers[choice.identity].permits.popleft()
+            self.record_start(work, now_ms)
             if not tried:
                 self.rank_shares[work.service].record_start(work.rank, now_ms)
             dispatches.append((ticket, choice))
@@ -905,6 +908,27 @@
         forecast = waits.Forecast(self, now_ms + rest_ms)
         return rest_ms + forecast.arrival_wait_ms(work)
 
+    def record_start(self, work, now_ms):
+        """Record a start, from which the start rate of a service is measured."""
+        self.recent_starts.append((now_ms, work.service, work.rank))
+        oldest_ms = now_ms - waits.START_RATE_WINDOW_MS
+        while self.recent_starts and self.recent_starts[0][0] < oldest_ms:
+            self.recent_starts.popleft()
+
+    def count_starts_above(self, work, now_ms):
+        """Return how many works above the rank of one were started lately."""
+        return sum(
+            1
+            for started_ms, service, rank in self.recent_starts
+            if service == work.service
+            and rank < work.rank
+            and started_ms >= now_ms - waits.START_RATE_WINDOW_MS
+        )
+
+    def knows_capacity(self, work, now_ms):
+        """Return whether waits are estimated from the capacity of a work's servers."""
+        return waits.Forecast(self, now_ms).is_known(work)
+
     def room_wait_ms(self, work, now_ms):
         """Return when there will be room for a request that comes again, in ms."""
         rest_ms = self.rest_wait_ms(work, now_ms)
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -199,16 +199,14 @@
         )
         self.assertIn(late_ticket, gateway_pool.waiting)
 
-    def test_higher_rank_arrivals_lengthen_expected_wait(self):
+    def test_higher_rank_starts_lengthen_expected_wait(self):
         gateway_pool = make_pool(announce("a", slots=4))
-        for number in range(4 + pool.ENGINE_QUEUE_REQUESTS):
-            gateway_pool.add_running("a", make_work(str(number), rank=(1, 3)))
         for number in range(3):
             enqueue_work(gateway_pool, make_work(f"low{number}", rank=(1, 3)))
         work = make_work("new", rank=(1, 3))
         idle_wait_ms = gateway_pool.expected_wait_ms(work, 10)
         for number in range(15):
-            gateway_pool.record_arrival(make_work(f"top{number}", rank=(1, 1)))
+            gateway_pool.record_start(make_work(f"top{number}", rank=(1, 1)), 10)
         self.assertGreater(gateway_pool.expected_wait_ms(work, 10), 1.5 * idle_wait_ms)
 
     def test_short_queue_without_recent_starts_has_short_expected_wait(self):
--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -35,6 +35,8 @@
 # fraction of it that is left to a rank at least.
 MIN_CAPACITY = 0.01
 MIN_LEFT_FRACTION = 0.1
+# The rate of starts is measured over the last two seconds.
+START_RATE_WINDOW_MS = 2000
 # A rank of which this part of a decayed arrival is left has no demand to speak of.
 MIN_COUNT = 0.02
 # Prefill time and time for an output token that are assumed before a measurement; the
@@ -61,7 +63,7 @@
 # what arrives later, and a request that is held and then refused loses more than one
 # that is refused at once. For ranks between, the factor grows with the square of their
 # depth.
-LATE_MARGIN = 3.0
+LATE_MARGIN = 5.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -308,15 +310,6 @@
         told = self.totals.get(key, Row()).demand
         return told + self.flows[key].demand(now_ms) if key in self.flows else told
 
-    def higher_rate(self, service, rank, now_ms):
-        """Return how many requests above a rank arrive here per ms."""
-        rate = 0.0
-        for key, flow in self.flows.items():
-            if key[0] == service and key[1] < rank:
-                flow.decay(now_ms)
-                rate += flow.count / DEMAND_TIME_CONSTANT_MS
-        return rate
-
     def higher_demand(self, service, rank, gateway_count, now_ms):
         """Return the `Need` per ms of the ranks above one, over all gateways."""
         total = Need()
@@ -511,8 +504,9 @@
             * self.pool.gateway_count
             / max(MIN_CAPACITY, places)
         )
-        rate = self.estimates.higher_rate(work.service, work.rank, self.now_ms)
-        left_fraction = max(MIN_LEFT_FRACTION, 1.0 - rate * interval_ms)
+        higher_starts = self.pool.count_starts_above(work, self.now_ms)
+        used_fraction = higher_starts * interval_ms / START_RATE_WINDOW_MS
+        left_fraction = max(MIN_LEFT_FRACTION, 1.0 - used_fraction)
         return ahead * interval_ms / left_fraction
 
     def paces(self, work):
@@ -556,18 +550,23 @@
     def is_known(self, work):
         """Return whether the capacity for a work is known.
 
-        It is not while no server accepts works, as after a start, and where servers
-        name limits, at which permits decide.
+        It is not while no server accepts works, as after a start, where servers name
+        limits, at which permits decide, and where none of them reports a host factor:
+        how fast such servers are is known only from own measurements.
         """
         return self.shared("is_service_known", work.service, work.software)
 
     def is_service_known(self, service, software):
         """Return whether the capacity of a service is known."""
         places, _, _ = self.shared("capacity", service, software)
-        return places > 0 and not any(
-            server.is_limited and server.announcement.service == service
+        accepting = [
+            server
             for server in self.shared("accepting")
-        )
+            if server.announcement.service == service
+        ]
+        if places <= 0 or any(server.is_limited for server in accepting):
+            return False
+        return any(server.host.factor(self.now_ms) is not None for server in accepting)
 
     def queued_wait_ms(self, work, own_ahead, counts):
         """Return how long a work waits from now on.
--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from brasstrail.coordination import pool, pool_test, waits
+from brasstrail.core import servers
 from brasstrail.emulator import engine, experiment, load
 
 CHAT_RANK, TOP_RANK = (2, 2), (2, 0)
@@ -74,7 +75,7 @@
             load.LARGE_KINDS,
             phases,
             pool.Pool,
-            experiment.Setup(speed=speed, retries=1),
+            experiment.Setup(speed=speed, reports_load=True, retries=1),
         )
         simulation.run()
         short, long = [], []
@@ -86,12 +87,21 @@
         self.assertGreater(sum(long) / len(long), 500)
 
 
+def make_reporting_pool():
+    """Return a pool with one server, which has reported a host factor."""
+    gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+    report = servers.LoadReport(0, 0, 2, 1.0)
+    start = gateway_pool.servers["a"].start
+    gateway_pool.record_report(start, report, 0, is_own=True)
+    return gateway_pool
+
+
 class RefusalTest(unittest.TestCase):
     """Which of the waiting requests are refused."""
 
     def make_full_pool(self, count, latest_ms):
         """Return a pool with a full server and as many waiting chats."""
-        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        gateway_pool = make_reporting_pool()
         for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
             running = pool_test.make_work(f"r{number}", CHAT_RANK)
             gateway_pool.add_running("a", running)
@@ -133,7 +143,7 @@
 
     def test_plain_service_is_refused_by_its_own_time(self):
         """Guards against estimates for short work that assume long answers."""
-        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        gateway_pool = make_reporting_pool()
         gateway_pool.configure(())
         work = pool_test.make_work("w", tokens=0)
         for _ in range(200):
@@ -142,12 +152,30 @@
         self.assertAlmostEqual(need_ms, 90, delta=10)
 
 
+class HigherRanksTest(unittest.TestCase):
+    """Load: requests of a higher rank arrive while those of the lowest wait."""
+
+    def test_higher_rank_arrivals_lengthen_expected_wait(self):
+        gateway_pool = make_reporting_pool()
+        for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
+            gateway_pool.add_running("a", pool_test.make_work(str(number), CHAT_RANK))
+        for number in range(3):
+            work = pool_test.make_work(f"low{number}", CHAT_RANK)
+            pool_test.enqueue_work(gateway_pool, work)
+        work = pool_test.make_work("new", CHAT_RANK)
+        idle_wait_ms = gateway_pool.expected_wait_ms(work, 10)
+        for number in range(15):
+            top = pool_test.make_work(f"top{number}", TOP_RANK)
+            gateway_pool.record_arrival(top)
+        self.assertGreater(gateway_pool.expected_wait_ms(work, 10), 1.5 * idle_wait_ms)
+
+
 class OtherGatewaysTest(unittest.TestCase):
     """What other gateways tell, or do not."""
 
     def wait_ms(self, *told, gateway_count=3):
         """Return the estimate with one own request and what others have told."""
-        gateway_pool = pool_test.make_pool(pool_test.announce("a"))
+        gateway_pool = make_reporting_pool()
         gateway_pool.gateway_count = gateway_count
         for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
             running = pool_test.make_work(f"r{number}", CHAT_RANK)
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -556,5 +556,10 @@
         step_ms=load.LARGE_STEP_MS,
         prefill_tokens_per_ms=load.LARGE_PREFILL_TOKENS_PER_MS,
     )
-    setup = Setup(speed=speed, retries=retries, heeds_retry_after=heeds_retry_after)
+    setup = Setup(
+        speed=speed,
+        reports_load=True,
+        retries=retries,
+        heeds_retry_after=heeds_retry_after,
+    )
     return simulate(seed, load.LARGE_KINDS, phases, make_pool, setup)
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -30,6 +30,9 @@
 # rest, the random part is up to half of the rest.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 10.0
+# The same where waits are not estimated from the capacity of servers.
+MAX_UNKNOWN_RETRY_S = 5.0
+UNKNOWN_SPREAD_FRACTION = 0.5
 REST_SPREAD_FRACTION = 0.5
 NO_SERVER_RETRY_S = 1.0
 # A request waits for the gateway's lease no longer than a leader election and one
@@ -431,9 +434,14 @@
         )
 
     def retry_after_s(self):
-        """Return when there will be room, in seconds, spread by its own length."""
+        """Return when there will be room, in seconds, with a random part."""
         server_pool, work, now_ms = self.gateway.pool, self.work(), clock.now_ms()
         rest_s = server_pool.rest_wait_ms(work, now_ms) / 1000
+        if not server_pool.knows_capacity(work, now_ms):
+            wait_s = server_pool.expected_wait_ms(work, now_ms) / 1000
+            wait_s = min(MAX_UNKNOWN_RETRY_S, max(MIN_RETRY_S, wait_s))
+            spread_s = UNKNOWN_SPREAD_FRACTION * wait_s
+            return max(wait_s, rest_s) + random.uniform(0.0, spread_s)
         room_s = server_pool.room_wait_ms(work, now_ms) / 1000
         wait_s = max(MIN_RETRY_S, rest_s + min(MAX_RETRY_S, room_s - rest_s))
         spread_s = max(wait_s - rest_s, rest_s * REST_SPREAD_FRACTION)
