Let less urgent requests prepay instead of urgent ones overdrawing

Since urgent requests could overdraw the share of each gateway by about one request, which the bound of a small limit does not cover. Change: near a limit, a request of a less urgent tier is admitted only once the gateway's share covers the usual cost of a request of the workspace; the most urgent ones and workspaces with one tier as before. Tests of allotments, explain and gateway pass.

--- a/brasstrail/coordination/allotments.py
+++ b/brasstrail/coordination/allotments.py
@@ -12,8 +12,8 @@
 what it has admitted lately. Otherwise all of them would admit at once what is left only
 once, and then wait until that is made up for.
 
-While little is left, requests of a workspace's more urgent routes may overdraw the
-gateway's share by about one request, which its less urgent ones make up for.
+While little is left, a request of a workspace's less urgent routes is admitted only
+once the gateway's share covers the usual cost of one, the most urgent ones before that.
 
 A gateway that has just started, or that was held up, knows too little: its bucket
 starts empty, and takes the level over that another one reports. Until then, a gateway
@@ -54,10 +54,10 @@
 # A gateway keeps to its share of the rate while less is left than the rate gives in
 # this time: several times as long as a report takes.
 PACED_S = 0.75
-# The most urgent requests may overdraw a gateway's share of the rate by what it gains
-# in this time, or by their own cost if that is more: one gateway of many gains less
-# than that cost between two requests.
-OVERDRAFT_S = 0.5
+# Weight of a request in the usual cost of a workspace's requests. What less urgent
+# requests prepay does not depend on their own size, so that large ones are not refused
+# more often than small ones.
+COST_SMOOTHING_FACTOR = 0.05
 # A gateway without requests lately has this fraction of an even share.
 MIN_SHARE_FRACTION = 0.25
 # After a start of all hosts, each gateway hears of all others within this time.
@@ -81,7 +81,8 @@
     in a millisecond, and `peer_offset` is the sum of the rate of each times the time of
     its last report, so that what they have not reported yet is found without a loop.
     This one spends `own_rate`. While little is left, it may spend `paced` at once, as
-    counted at `paced_ms`; below 0 it has spent that in advance.
+    counted at `paced_ms`; below 0 it has spent that in advance. `usual_cost` is a
+    moving average of what its requests here cost.
     """
 
     level: float
@@ -91,6 +92,13 @@
     own_rate: float = 0.0
     paced: float = 0.0
     paced_ms: int = 0
+    usual_cost: float | None = None
+
+    def record_cost(self, cost):
+        """Record what a request costs."""
+        if self.usual_cost is None:
+            self.usual_cost = cost
+        self.usual_cost += COST_SMOOTHING_FACTOR * (cost - self.usual_cost)
 
     def unreported(self, now_ms):
         """Return the cost that others have presumably admitted since their reports.
@@ -429,9 +437,10 @@
             return 0.0
         rate = self.usable_rate(allotment)
         self.tiers.record(workspace, tier, now_ms)
-        share_of_overdraft = self.tiers.urgency(workspace, tier, now_ms)
+        self.buckets[workspace].record_cost(cost)
+        urgent_part = self.tiers.urgency(workspace, tier, now_ms)
         excess = max(
-            self.excess_cost(workspace, allotment, cost, now_ms, share_of_overdraft),
+            self.excess_cost(workspace, allotment, cost, now_ms, urgent_part),
             self.excess_on_trial(workspace, allotment, now_ms),
         )
         if excess > 0:
@@ -461,10 +470,10 @@
             capacity = self.bucket_capacity(allotment)
             bucket.level = min(capacity, bucket.level + capacity)
 
-    def excess_cost(self, workspace, allotment, cost, now_ms, share_of_overdraft):
+    def excess_cost(self, workspace, allotment, cost, now_ms, urgent_part):
         """Return by how much a cost exceeds what may be spent now; 0 if it does not.
 
-        `share_of_overdraft` is the fraction of the overdraft that the request may use.
+        `urgent_part` is the fraction of the usual cost that need not be there before.
         """
         left = self.left(workspace, now_ms)
         needed = min(cost, self.bucket_capacity(allotment))
@@ -479,15 +488,13 @@
         share = gain * self.own_share(bucket, allotment)
         elapsed_s = max(0, now_ms - bucket.paced_ms) / MS_PER_SECOND
         bucket.paced += elapsed_s * share * self.usable_rate(allotment)
-        bucket.paced = min(bucket.paced, cost)
+        prepaid = (1.0 - urgent_part) * bucket.usual_cost
+        bucket.paced = min(bucket.paced, max(cost, prepaid))
         bucket.paced_ms = max(bucket.paced_ms, now_ms)
-        gain_in_overdraft = OVERDRAFT_S * share * self.usable_rate(allotment)
-        overdraft = share_of_overdraft * max(cost, gain_in_overdraft)
-        if bucket.paced + overdraft >= 0:
+        if bucket.paced >= prepaid:
             return 0.0
-        return -(bucket.paced + overdraft) / max(
-            share, MIN_SHARE_FRACTION / (len(self.peers) + 1)
-        )
+        least_share = MIN_SHARE_FRACTION / (len(self.peers) + 1)
+        return (prepaid - bucket.paced) / max(share, least_share)
 
     def own_share(self, bucket, allotment):
         """Return this gateway's share of a rate, by what it has spent lately."""
--- a/brasstrail/coordination/urgency.py
+++ b/brasstrail/coordination/urgency.py
@@ -8,7 +8,7 @@
 >>> tiers = TierActivity()
 >>> tiers.record("w", 1, 0)
 >>> tiers.urgency("w", 1, 0)
-0.0
+1.0
 >>> tiers.record("w", 3, 0)
 >>> tiers.urgency("w", 1, 0), tiers.urgency("w", 3, 0)
 (1.0, 0.0)
@@ -48,12 +48,15 @@
             del tiers[next(iter(tiers))]
 
     def urgency(self, workspace, tier, now_ms):
-        """Return the fraction of the other active tiers that are less urgent."""
+        """Return the fraction of the other active tiers that are less urgent.
+
+        It is 1 for the most urgent tier, and if there is no other.
+        """
         others = [
             other
             for other, seen_ms in self.seen_ms[workspace].items()
             if other != tier and now_ms - seen_ms <= ACTIVITY_WINDOW_MS
         ]
         if not others:
-            return 0.0
+            return 1.0
         return sum(other > tier for other in others) / len(others)
