Tell queues and demand only where servers report a host factor

Cause: where none does, no gateway uses the rows of other gateways' waits, but each datagram carried them. Change: the columns of waits are left out of a gateway's state then.

--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -483,9 +483,18 @@
             **columns.spending_fields(report.spent or {}, as_columns),
             **columns.level_fields(report.levels),
             **columns.report_fields(self.pool.own_reports(clock.now_ms()), as_columns),
-            **columns.wait_fields(self.pool.own_rows(clock.now_ms())),
+            **self.wait_fields(clock.now_ms()),
         )
 
+    def wait_fields(self, now_ms):
+        """Return the fields of a state on waits, if any server reports a host factor.
+
+        Elsewhere no gateway uses them, and each datagram would cost more to read.
+        """
+        if not self.host_factors():
+            return {}
+        return columns.wait_fields(self.pool.own_rows(now_ms))
+
     def record_departure(self, start, source, heard_ms):
         """Record that a start of a server leaves, and tell the other gateways.
 
