--- a/review/9/case.py
+++ b/review/9/case.py
@@ -123,9 +123,7 @@
         stop.set()
         await load
         late_runs = [
-            attempt
-            for at, attempt, _, _ in leaving.runs
-            if at - acknowledged > DRAIN_S
+            attempt for at, attempt, _, _ in leaving.runs if at - acknowledged > DRAIN_S
         ]
         record(f"{len(late_runs)} requests reached the server later than drain_ms")
         return len(late_runs) > 0
