--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""CONFIG: a gateway that was frozen serves a request with a key taken away long before."""
+"""CONFIG: a gateway that was frozen serves requests with a key taken away before."""
 
 import asyncio
 import pathlib
--- a/review/standins.py
+++ b/review/standins.py
@@ -14,6 +14,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -253,8 +254,6 @@
         if os.environ.get("KEEP"):
             print(self.folder, file=sys.stderr)
             return
-        import shutil
-
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -416,7 +415,9 @@
     slots = 6
     withdrawal_has_body = False
 
-    def __init__(self, record, name, service, ip, controls, zone="ub-east", work_s=0.02):
+    def __init__(
+        self, record, name, service, ip, controls, zone="ub-east", work_s=0.02
+    ):
         self.record, self.name, self.service = record, name, service
         self.ip, self.controls, self.zone = ip, list(controls), zone
         self.port = 8080
@@ -620,13 +621,15 @@
 
 
 def run_case(folder, play):
-    """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+    """Run a case; exit with 1 if the rule was broken, 0 if it held, else with 2.
 
     `play` is a coroutine function of the record that returns whether the rule was
     broken.
     """
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
+    # Whoever stops the script, its processes are ended on the way out.
+    signal.signal(signal.SIGTERM, lambda *details: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(play(record), 115))
     except Exception as error:
