Do not use a server again that withdrew before its first report came

Cause: a withdrawal that states no start was recorded as the end of a start at time 0, and Directory.is_start_ended compared that time for equality with the one of a report that came late, which so counted as one of a later start. A committed end without a start also ended whichever start was known when it was heard of again.

Change: an unknown start is None, and the end states by when it came (ended_by_ms, the last field of ServerRecord). It ends every start until then. While clocks may be at fault, reports are ignored for 15 s, not for good, so that a sound restart under the same identity serves. Looked at and found sound: ends that state their start, retirements of leaving servers, crash and origin records (all keyed by identity and start). Server-Leaving and rests of a start that is not known yet stay open.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -16,6 +16,11 @@
 # Delayed announcements arrive within seconds. A server that is gone must still be
 # recorded then, so that they do not bring it back.
 RETENTION_MS = 60_000
+# How long after an end without a start an announcement of a start that may have ended
+# is taken for a delayed one. Channels that were cut deliver within seconds.
+REPORT_DELAY_MS = 15_000
+# By how much the clocks of a server and of a control host may differ.
+CLOCK_ERROR_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,10 +45,13 @@
     Parameters
     ----------
     interval_ms : how often servers announce themselves.
+    report_delay_ms : how long an announcement may be under way. Gateways use less than
+        control hosts: what these believe must not be ignored there.
     """
 
-    def __init__(self, interval_ms):
+    def __init__(self, interval_ms, report_delay_ms=REPORT_DELAY_MS):
         self.interval_ms = interval_ms
+        self.report_delay_ms = report_delay_ms
         self.known = {}
         self.by_address = {}
 
@@ -58,14 +66,15 @@
         held = self.known.get(announcement.identity)
         if announcement.phase is servers.ServerPhase.GONE:
             return self.record_end(announcement, seen_ms)
-        if held is not None and announcement.sort_key < held.announcement.sort_key:
-            return False
-        if held is not None and announcement.sort_key == held.announcement.sort_key:
-            adds_version = announcement.version and not held.announcement.version
-            if announcement.phase is held.phase and not adds_version:
-                return self.refresh_last_seen(held, seen_ms)
-        if self.is_start_ended(held, announcement):
+        if self.is_start_ended(held, announcement, seen_ms):
             return False
+        if held is not None and held.announcement.born_ms is not None:
+            if announcement.sort_key < held.announcement.sort_key:
+                return False
+            if announcement.sort_key == held.announcement.sort_key:
+                adds_version = announcement.version and not held.announcement.version
+                if announcement.phase is held.phase and not adds_version:
+                    return self.refresh_last_seen(held, seen_ms)
         if self.is_address_reassigned(announcement):
             if held is None:
                 ended = dataclasses.replace(
@@ -81,21 +90,24 @@
     def record_end(self, announcement, seen_ms):
         """Apply an announcement that a server is gone; return whether that is new.
 
-        An announcement without a start time (`born_ms` 0) ends whichever start is
-        recorded. If the server is unknown, its end is recorded, so that a delayed
-        announcement does not bring it back.
+        It ends the recorded start unless that began later. If the server is unknown,
+        its end is recorded, so that a delayed announcement does not bring it back.
         """
         held = self.known.get(announcement.identity)
         if held is None:
             self.known[announcement.identity] = KnownServer(announcement, seen_ms)
             return True
-        is_later = held.announcement.born_ms > announcement.born_ms
-        if is_later and announcement.born_ms:
-            return False
-        if held.phase is servers.ServerPhase.GONE:
+        if is_later_start(held.announcement, announcement):
             return False
-        self.mark_gone(announcement.identity)
-        return True
+        ended = dataclasses.replace(
+            held.announcement,
+            phase=servers.ServerPhase.GONE,
+            born_ms=latest(held.announcement.born_ms, announcement.born_ms),
+            ended_by_ms=latest(held.announcement.ended_by_ms, announcement.ended_by_ms),
+        )
+        last_seen_ms = max(held.last_seen_ms, seen_ms)
+        self.known[announcement.identity] = KnownServer(ended, last_seen_ms)
+        return ended != held.announcement
 
     def running_starts(self, announcement):
         """Return the announcements of ready servers that an announcement may replace.
@@ -116,7 +128,9 @@
     def is_replaced(self, announcement):
         """Return whether a later start has the identity or address of a start."""
         known = self.known.get(announcement.identity)
-        if known is not None and known.announcement.born_ms > announcement.born_ms:
+        if known is not None and (known.announcement.born_ms or 0) > (
+            announcement.born_ms
+        ):
             return True
         holder = self.by_address.get(announcement.address, announcement.identity)
         return holder != announcement.identity
@@ -129,11 +143,22 @@
             )
         return False
 
-    def is_start_ended(self, held, announcement):
-        """Return whether an announcement belongs to a start that has ended."""
+    def is_start_ended(self, held, announcement, seen_ms):
+        """Return whether an announcement belongs to a start that has ended.
+
+        After an end that stated no start it is uncertain for starts that began before
+        it. They count as ended while their announcements may have been delayed.
+        """
         if held is None or held.phase is not servers.ServerPhase.GONE:
             return False
-        return announcement.born_ms == held.announcement.born_ms
+        born_ms, ended_by_ms = held.announcement.born_ms, held.announcement.ended_by_ms
+        if born_ms is not None and announcement.born_ms <= born_ms:
+            return True
+        if ended_by_ms is not None and announcement.born_ms > ended_by_ms:
+            return False
+        if born_ms is not None and ended_by_ms is None:
+            return False
+        return seen_ms - held.last_seen_ms <= self.report_delay_ms
 
     def is_address_reassigned(self, announcement):
         """Return whether a server that started later uses the same address."""
@@ -193,6 +218,41 @@
         ]
 
 
+def with_end_time(end, earlier, wall_ms):
+    """Return the announcement of an end without a start, with the time of that end.
+
+    The start that has ended may be one that is not known. A server that withdraws
+    without having said that it leaves still runs for some time, so that no later start
+    of it begins within the error of the clocks.
+
+    Parameters
+    ----------
+    end : the announcement that a server is gone.
+    earlier : what is known of the server, as announcements.
+    wall_ms : the wall-clock time.
+    """
+    phases = [each.phase for each in earlier]
+    error_ms = 0 if servers.ServerPhase.LEAVING in phases else CLOCK_ERROR_MS
+    born_ms = latest(*[each.born_ms for each in earlier])
+    return dataclasses.replace(end, born_ms=born_ms, ended_by_ms=wall_ms + error_ms)
+
+
+def is_later_start(announcement, end):
+    """Return whether a start began after another one of its identity had ended.
+
+    `end` is the announcement of that end.
+    """
+    ended_ms = latest(end.born_ms, end.ended_by_ms)
+    if ended_ms is None or announcement.born_ms is None:
+        return False
+    return announcement.born_ms > ended_ms
+
+
+def latest(*times_ms):
+    """Return the latest of some times of which any may be None."""
+    return max((each for each in times_ms if each is not None), default=None)
+
+
 def with_known_version(announcement, held):
     """Return an announcement with the version that its start has stated before.
 
--- a/brasstrail/core/servers.py
+++ b/brasstrail/core/servers.py
@@ -29,6 +29,11 @@
     of one start. `cold_ms` is how much longer the server is slow because it
     started recently. `version` is that of the server's software, or empty if the
     announcement does not state it; one start has one version.
+
+    The end of a server may state no start: `born_ms` is then the latest start that is
+    known, or None, and `ended_by_ms` the wall-clock time by which the server ended.
+    Starts until then have ended; whether one that began soon before it has is
+    uncertain, since clocks differ.
     """
 
     identity: str
@@ -36,11 +41,12 @@
     address: str
     data_centre: str
     phase: ServerPhase
-    born_ms: int
+    born_ms: int | None
     sequence: int
     slots: int = 1
     cold_ms: float = 0.0
     version: str = ""
+    ended_by_ms: int | None = None
 
     @property
     def software(self):
@@ -59,7 +65,7 @@
 def make_end(identity, born_ms):
     """Return the announcement that a start of a server has ended.
 
-    A `born_ms` of 0 means whichever start is known.
+    `born_ms` is None if it is not known which start has.
     """
     return Announcement(identity, "", "", "", ServerPhase.GONE, born_ms, 0)
 
@@ -67,12 +73,16 @@
 def check_announcement(announcement):
     """Raise `errors.BadRequest` unless an announcement can be sent on and used.
 
-    That of a server that is gone states its identity and its start only.
+    That of a server that is gone states its identity and, if known, its start only.
     """
+    is_gone = announcement.phase is ServerPhase.GONE
     bounds.check_header_text("The identity", announcement.identity)
-    bounds.check_integer("The time of the start", announcement.born_ms)
+    if announcement.born_ms is not None or not is_gone:
+        bounds.check_integer("The time of the start", announcement.born_ms)
+    if announcement.ended_by_ms is not None:
+        bounds.check_integer("The time of the end", announcement.ended_by_ms)
     bounds.check_integer("The sequence", announcement.sequence)
-    if announcement.phase is ServerPhase.GONE and not announcement.address:
+    if is_gone and not announcement.address:
         return
     bounds.split_address(announcement.address)
     bounds.check_name("The service", announcement.service)
--- a/brasstrail/platform/announcements.py
+++ b/brasstrail/platform/announcements.py
@@ -52,11 +52,11 @@
 def decode_withdrawal(identity, body):
     """Return the `servers.Announcement` of a server that has ended.
 
-    Its start is 0 if the body is empty or does not state when the server started.
+    Its start is None if the body is empty or does not state when the server started.
     Raises `errors.BadRequest` as `decode` does.
     """
     json_object = parse_json_object(body) if body else {}
-    born_ms = 0
+    born_ms = None
     if "born" in json_object:
         born_ms = get_non_negative_integer(json_object, "born")
     announcement = servers.make_end(identity, born_ms)
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -539,8 +539,8 @@
 class ServerRecord:
     """A backend server in the directory of a control host or a gateway.
 
-    The fields are those of `servers.Announcement`. `age_ms` is the time since the
-    announcement was received.
+    The fields are those of `servers.Announcement`, with 0 for an unknown time.
+    `age_ms` is the time since the announcement was received.
     """
 
     identity: str
@@ -554,6 +554,7 @@
     cold_ms: float
     age_ms: int = 0
     version: str = ""
+    ended_by_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -661,6 +661,7 @@
   coldMs @8 :Float64;
   ageMs @9 :Int64;
   version @10 :Text;
+  endedByMs @11 :Int64;
 }
 
 struct ServiceVersion {
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -51,6 +51,8 @@
 LISTEN_BACKLOG = 1024
 # Gateways do not detect silent servers themselves; control hosts report them.
 DIRECTORY_INTERVAL_MS = 0
+# Two thirds of that of control hosts: the way from these takes some seconds at most.
+DIRECTORY_REPORT_DELAY_MS = directory.REPORT_DELAY_MS * 2 // 3
 # A gateway that is no longer listed still counts for this long: about twice the time
 # after which control hosts drop one that they have not heard of.
 PEER_RETENTION_MS = 6000
@@ -162,7 +164,9 @@
         now_ms = clock.now_ms()
         self.pool = pool.Pool(hub.settings.node, dict(hub.settings.node.regions))
         self.pool.zones = self.make_zones()
-        self.directory = directory.Directory(DIRECTORY_INTERVAL_MS)
+        self.directory = directory.Directory(
+            DIRECTORY_INTERVAL_MS, DIRECTORY_REPORT_DELAY_MS
+        )
         self.allotments = allotments.Allotments(
             now_ms,
             self.settings.allotment_slack,
--- a/brasstrail/roles/publisher_test.py
+++ b/brasstrail/roles/publisher_test.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import tempfile
+import time
 import types
 import unittest
 import unittest.mock
@@ -348,6 +349,19 @@
             server_pool = each.gateway.pool
             await wait_until(lambda pool=server_pool: pool.has_servers(WORK))
 
+    async def test_late_report_of_a_start_that_was_unknown_at_its_withdrawal(self):
+        """Guards against a withdrawn server in use again after a delayed report."""
+        born = int(time.time() * 1000) - 3000
+        for each in self.controls:
+            each.publisher.registry.started_ms -= 60_000
+        await self.report_until_acknowledged("i-9", method="DELETE")
+        await self.report_until_acknowledged("i-9", born=born)
+        await self.report_until_acknowledged("i-10", address="127.0.0.1:10")
+        for each in self.gateways:
+            server_pool = each.gateway.pool
+            await wait_until(lambda pool=server_pool: "i-10" in pool.servers)
+            self.assertNotIn("i-9", server_pool.servers)
+
     async def test_end_of_an_unknown_start_is_not_acknowledged_too_early(self):
         """A control host that has just started does not know which start is meant."""
         first = self.controls[0]
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -82,7 +82,7 @@
         acknowledge it, since this could be the only host that received it, and
         `errors.NotReady` if it does not know yet which start has ended.
         """
-        announcement = self.with_start(announcement)
+        announcement = self.with_end_time(announcement)
         was_ready = self.is_ready(announcement.identity)
         self.record_announcement(announcement, clock.now_ms(), to_peers=True)
         self.publisher.check_confirmed()
@@ -102,26 +102,22 @@
         known = self.directory.known.get(identity)
         return known is not None and known.phase is servers.ServerPhase.READY
 
-    def with_start(self, announcement):
-        """Return an announcement with the start that it means, if it states none."""
+    def with_end_time(self, announcement):
+        """Return an announcement with the time of the end, if it states no start."""
         is_gone = announcement.phase is servers.ServerPhase.GONE
-        if not is_gone or announcement.born_ms:
+        if not is_gone or announcement.born_ms is not None:
             return announcement
-        identity = announcement.identity
-        known = self.directory.known.get(identity)
-        committed = self.retirements.by_identity.get(identity)
-        if known is not None:
-            born_ms = known.announcement.born_ms
-        elif committed is not None:
-            born_ms = committed.record.born_ms
-        elif self.is_complete:
-            return announcement
-        else:
+        known = self.directory.known.get(announcement.identity)
+        committed = self.retirements.by_identity.get(announcement.identity)
+        if known is None and committed is None and not self.is_complete:
             raise errors.NotReady(
                 "This control host does not know yet which servers run.",
                 "Withdraw again, here or at another control host.",
             )
-        return dataclasses.replace(announcement, born_ms=born_ms)
+        earlier = [known.announcement] if known else []
+        if committed:
+            earlier.append(to_announcement(committed.record))
+        return directory.with_end_time(announcement, earlier, clock.wall_ms())
 
     def apply_retirements(self):
         """Record the servers that leave or are gone that were committed lately."""
@@ -136,6 +132,7 @@
         if announcement.phase is not servers.ServerPhase.GONE:
             software = announcement.software
             self.versions.record(announcement.service, software, seen_ms)
+            self.log_ended_start(announcement, seen_ms)
         changed = self.directory.record_announcement(announcement, seen_ms)
         if announcement.identity in self.silent and self.has_recovered(announcement):
             self.silent.discard(announcement.identity)
@@ -145,6 +142,20 @@
             self.log_server(announcement, age_ms)
             self.publish(announcement, age_ms, to_peers)
 
+    def log_ended_start(self, announcement, seen_ms):
+        """Log that an announcement is ignored, if its start has ended."""
+        held = self.directory.known.get(announcement.identity)
+        if self.directory.is_start_ended(held, announcement, seen_ms):
+            self.log.info(
+                "registry: An announcement of a start that has ended is ignored.",
+                server=announcement.identity,
+                born=announcement.born_ms,
+                sequence=announcement.sequence,
+                ended_born=held.announcement.born_ms,
+                ended_by=held.announcement.ended_by_ms,
+                ended_ms_ago=seen_ms - held.last_seen_ms,
+            )
+
     def has_recovered(self, announcement):
         """Return whether a silent server has announced itself again."""
         known = self.directory.known.get(announcement.identity)
@@ -160,6 +171,7 @@
             phase=str(announcement.phase),
             version=announcement.version,
             born=announcement.born_ms,
+            ended_by=announcement.ended_by_ms,
             sequence=announcement.sequence,
             age_ms=age_ms,
         )
@@ -245,28 +257,32 @@
         announcement.address,
         announcement.data_centre,
         str(announcement.phase),
-        announcement.born_ms,
+        announcement.born_ms or 0,
         announcement.sequence,
         announcement.slots,
         announcement.cold_ms,
         age_ms,
         announcement.version,
+        announcement.ended_by_ms or 0,
     )
 
 
 def to_announcement(record):
-    """Return the announcement in a message record."""
+    """Return the announcement in a message record, where 0 is an unknown time."""
+    phase = servers.ServerPhase(record.phase)
+    is_gone = phase is servers.ServerPhase.GONE
     return servers.Announcement(
         record.identity,
         record.service,
         record.address,
         record.data_centre,
-        servers.ServerPhase(record.phase),
-        record.born_ms,
+        phase,
+        (record.born_ms or None) if is_gone else record.born_ms,
         record.sequence,
         record.slots,
         record.cold_ms,
         record.version,
+        record.ended_by_ms or None,
     )
 
 
--- a/brasstrail/state/retirements.py
+++ b/brasstrail/state/retirements.py
@@ -58,6 +58,8 @@
         held = self.by_identity.get(record.identity)
         if held is None or held.record.born_ms != record.born_ms:
             return False
+        if record.ended_by_ms > held.record.ended_by_ms:
+            return False
         return is_gone(held.record) or held.record.phase == record.phase
 
     def take_news(self):
