Keep a running server in use beside a report of another writer

Cause: Directory.store took the last announcement of an address for the truth and marked the server there as gone, and is_start_ended then ignored its own reports as those of an ended start.

If both go on, both stand, and the wrong one refuses requests, since they name the server that they are for. A server that was replaced may come back, as it has not said that it ended (is_contested, the last field of ServerRecord). An announcement that a server leaves replaces no other one, and counts whatever sequence was claimed. A server that moves to another address releases the old one, so that a later server there does not end it. A start keeps its address and service. The opposite holds as before: a server that was replaced after it fell silent is replaced at once, a later start at its own address, too.

Looked at and found sound: gateways follow what control hosts publish and weigh nothing; retirements are by start; the crash tracker's news of a replaced start.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -65,10 +65,17 @@
         """
         held = self.known.get(announcement.identity)
         if announcement.phase is servers.ServerPhase.GONE:
+            if announcement.is_contested:
+                return self.record_replacement(announcement, seen_ms)
             return self.record_end(announcement, seen_ms)
         if self.is_start_ended(held, announcement, seen_ms):
             return False
+        if held is not None and is_replaced_start(held.announcement, announcement):
+            held = None
         if held is not None and held.announcement.born_ms is not None:
+            if contradicts(held.announcement, announcement):
+                return False
+            announcement = with_sequence_of_departure(announcement, held)
             if announcement.sort_key < held.announcement.sort_key:
                 return False
             if announcement.sort_key == held.announcement.sort_key:
@@ -77,13 +84,11 @@
                     return self.refresh_last_seen(held, seen_ms)
         if self.is_address_reassigned(announcement):
             if held is None:
-                ended = dataclasses.replace(
-                    announcement, phase=servers.ServerPhase.GONE
-                )
+                ended = as_replaced(announcement)
                 self.known[announcement.identity] = KnownServer(ended, seen_ms)
             return False
         if held is not None:
-            announcement = with_known_version(announcement, held.announcement)
+            announcement = with_known_fields(announcement, held.announcement)
         self.store(announcement, seen_ms)
         return held is None or has_changed(held.announcement, announcement)
 
@@ -109,6 +114,27 @@
         self.known[announcement.identity] = KnownServer(ended, last_seen_ms)
         return ended != held.announcement
 
+    def record_replacement(self, announcement, seen_ms):
+        """Apply that a start was replaced; return whether that is new."""
+        held = self.known.get(announcement.identity)
+        if held is None:
+            self.known[announcement.identity] = KnownServer(announcement, seen_ms)
+            return True
+        is_same_start = held.announcement.born_ms == announcement.born_ms
+        if not is_same_start or held.phase is servers.ServerPhase.GONE:
+            return False
+        self.mark_replaced(announcement.identity)
+        return True
+
+    def rivals(self, announcement):
+        """Return the ready servers of other starts that an announcement may replace."""
+        return [
+            self.known[each.identity]
+            for each in self.running_starts(announcement)
+            if (each.identity, each.born_ms)
+            != (announcement.identity, announcement.born_ms)
+        ]
+
     def running_starts(self, announcement):
         """Return the announcements of ready servers that an announcement may replace.
 
@@ -152,6 +178,10 @@
         if held is None or held.phase is not servers.ServerPhase.GONE:
             return False
         born_ms, ended_by_ms = held.announcement.born_ms, held.announcement.ended_by_ms
+        if held.announcement.is_contested:
+            return announcement.sort_key <= held.announcement.sort_key and (
+                announcement.born_ms == born_ms
+            )
         if born_ms is not None and announcement.born_ms <= born_ms:
             return True
         if ended_by_ms is not None and announcement.born_ms > ended_by_ms:
@@ -165,24 +195,39 @@
         holder = self.known.get(self.by_address.get(announcement.address))
         if holder is None or holder.announcement.identity == announcement.identity:
             return False
+        if holder.announcement.is_contested or announcement.is_contested:
+            return False
         return holder.announcement.born_ms > announcement.born_ms
 
     def store(self, announcement, seen_ms):
-        """Store an announcement and mark the previous server at its address gone."""
-        previous = self.by_address.get(announcement.address)
-        if previous is not None and previous != announcement.identity:
-            self.mark_gone(previous)
-        self.by_address[announcement.address] = announcement.identity
-        self.known[announcement.identity] = KnownServer(announcement, seen_ms)
-
-    def mark_gone(self, identity):
-        """Mark a server as gone; return its last announcement, or None."""
+        """Store an announcement, and that the server before at its address is replaced.
+
+        A server that leaves, or that is contested, replaces no other one.
+        """
+        identity, address = announcement.identity, announcement.address
         held = self.known.get(identity)
-        if held is None:
-            return None
-        ended = dataclasses.replace(held.announcement, phase=servers.ServerPhase.GONE)
-        self.known[identity] = dataclasses.replace(held, announcement=ended)
-        return ended
+        if held is not None and held.announcement.address != address:
+            self.release_address(held.announcement)
+        previous = self.by_address.get(address)
+        is_ready = announcement.phase is servers.ServerPhase.READY
+        if previous is None or (is_ready and not announcement.is_contested):
+            if previous not in (None, identity):
+                self.mark_replaced(previous)
+            self.by_address[address] = identity
+        self.known[identity] = KnownServer(announcement, seen_ms)
+
+    def release_address(self, announcement):
+        """Forget that a server holds its address, if it does."""
+        if self.by_address.get(announcement.address) == announcement.identity:
+            del self.by_address[announcement.address]
+
+    def mark_replaced(self, identity):
+        """Mark a server as gone that did not say so, and may announce itself again."""
+        held = self.known[identity]
+        if held.phase is not servers.ServerPhase.GONE:
+            self.release_address(held.announcement)
+            ended = as_replaced(held.announcement)
+            self.known[identity] = dataclasses.replace(held, announcement=ended)
 
     def is_silent(self, known, now_ms):
         """Return whether a server has missed several announcements."""
@@ -204,9 +249,7 @@
         known = self.known.pop(identity, None)
         if known is None:
             return
-        address = known.announcement.address
-        if self.by_address.get(address) == identity:
-            del self.by_address[address]
+        self.release_address(known.announcement)
 
     def ready_servers(self, service):
         """Return the servers of a service that accept new work."""
@@ -253,15 +296,55 @@
     return max((each for each in times_ms if each is not None), default=None)
 
 
-def with_known_version(announcement, held):
-    """Return an announcement with the version that its start has stated before.
+def with_known_fields(announcement, held):
+    """Return an announcement with what is known of its start, and not stated in it.
 
     A control host of an earlier build passes announcements on without the version.
     """
-    is_same_start = announcement.born_ms == held.born_ms
-    if announcement.version or not is_same_start:
+    if announcement.born_ms != held.born_ms:
         return announcement
-    return dataclasses.replace(announcement, version=held.version)
+    is_contested = held.is_contested and held.phase is servers.ServerPhase.READY
+    return dataclasses.replace(
+        announcement,
+        version=announcement.version or held.version,
+        is_contested=announcement.is_contested or is_contested,
+    )
+
+
+def contradicts(held, announcement):
+    """Return whether an announcement moves a start to another address or service."""
+    return announcement.born_ms == held.born_ms and (
+        (announcement.address, announcement.service) != (held.address, held.service)
+    )
+
+
+def with_sequence_of_departure(announcement, held):
+    """Return an announcement that applies, if it says that a ready start leaves.
+
+    It does so whatever its sequence, since another writer may have stated a later one.
+    """
+    is_departure = (
+        announcement.phase is servers.ServerPhase.LEAVING
+        and held.phase is servers.ServerPhase.READY
+        and announcement.born_ms == held.announcement.born_ms
+    )
+    if not is_departure:
+        return announcement
+    sequence = max(announcement.sequence, held.announcement.sequence)
+    return dataclasses.replace(announcement, sequence=sequence)
+
+
+def as_replaced(announcement):
+    """Return an announcement as that of a start that another one has replaced."""
+    return dataclasses.replace(
+        announcement, phase=servers.ServerPhase.GONE, is_contested=True
+    )
+
+
+def is_replaced_start(held, announcement):
+    """Return whether the recorded start was replaced, and another one is announced."""
+    is_replaced = held.phase is servers.ServerPhase.GONE and held.is_contested
+    return is_replaced and held.born_ms != announcement.born_ms
 
 
 def has_changed(old, new):
--- a/brasstrail/core/servers.py
+++ b/brasstrail/core/servers.py
@@ -34,6 +34,10 @@
     known, or None, and `ended_by_ms` the wall-clock time by which the server ended.
     Starts until then have ended; whether one that began soon before it has is
     uncertain, since clocks differ.
+
+    A server `is_contested` if another one announces itself at its address, too. One
+    that is ready takes that address from nobody; one that is gone has not said so
+    itself, but was replaced, and may announce itself again.
     """
 
     identity: str
@@ -47,6 +51,7 @@
     cold_ms: float = 0.0
     version: str = ""
     ended_by_ms: int | None = None
+    is_contested: bool = False
 
     @property
     def software(self):
--- a/brasstrail/fakes/foreign.py
+++ b/brasstrail/fakes/foreign.py
@@ -30,6 +30,12 @@
     b'{"born": 1e999}',
 )
 
+# Fields that replace those of a valid report at the address of a server that runs.
+CLAIMS = (
+    {"service": "mailer"},
+    {"service": "mailer", "state": "draining"},
+)
+
 
 async def call_control(address, method, identity, body):
     """Send a report, or a withdrawal, to a control host; return the status.
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -555,6 +555,7 @@
     age_ms: int = 0
     version: str = ""
     ended_by_ms: int = 0
+    is_contested: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -662,6 +662,7 @@
   ageMs @9 :Int64;
   version @10 :Text;
   endedByMs @11 :Int64;
+  isContested @12 :Bool;
 }
 
 struct ServiceVersion {
--- a/brasstrail/roles/publisher.py
+++ b/brasstrail/roles/publisher.py
@@ -210,6 +210,7 @@
             run(self.share, now_ms)
             run(self.registry.share, now_ms)
             run(self.drop_expired_subscribers, now_ms)
+        run(self.registry.admit_claims, now_ms)
         run(self.registry.detect_silent_servers, now_ms)
 
     def start_confirmation_round(self, now_ms):
--- a/brasstrail/roles/registry.py
+++ b/brasstrail/roles/registry.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 
-from brasstrail.coordination import directory, origins
+from brasstrail.coordination import claims, directory, origins
 from brasstrail.core import clock, errors, servers
 from brasstrail.protocol import messages
 
@@ -36,6 +36,7 @@
         self.log = hub.log
         self.publisher = publisher
         self.directory = directory.Directory(hub.settings.control.announce_interval_ms)
+        self.claims = claims.Claims(self.directory)
         self.silent = set()
         self.versions = origins.VersionHistory()
         self.started_ms = clock.now_ms()
@@ -128,7 +129,55 @@
             self.record_announcement(announcement, now_ms, to_peers=False)
 
     def record_announcement(self, announcement, seen_ms, to_peers):
-        """Record an announcement received at `seen_ms`; publish any change."""
+        """Record an announcement received at `seen_ms`; publish any change.
+
+        One that would replace a running server is only kept, and passed on.
+        """
+        if self.claims.hold_back(announcement, seen_ms):
+            self.log_claim("registry: An announcement claims a server.", announcement)
+            if to_peers:
+                age_ms = clock.now_ms() - seen_ms
+                update = messages.Directory(False, (to_record(announcement, age_ms),))
+                self.publisher.send_to_peers(update)
+            self.admit_claim(announcement.identity, clock.now_ms())
+            return
+        self.apply_announcement(announcement, seen_ms, to_peers)
+
+    def admit_claims(self, now_ms):
+        """Record the announcements that waited, and are proved now."""
+        for identity in list(self.claims.waiting):
+            self.admit_claim(identity, now_ms)
+
+    def admit_claim(self, identity, now_ms):
+        """Record the announcement of a server that waits, if it is proved now."""
+        claim = self.claims.take_proved(identity, now_ms)
+        if claim is None:
+            return
+        announcement = claim.announcement
+        self.log_claim("registry: A claim takes effect.", announcement)
+        if not announcement.is_contested:
+            for each in claims.find_replaced(self.directory, announcement):
+                self.apply_announcement(each, now_ms, to_peers=True)
+        self.apply_announcement(announcement, claim.last_seen_ms, to_peers=True)
+
+    def log_claim(self, event, announcement):
+        """Log an announcement that would replace servers, and these."""
+        now_ms = clock.now_ms()
+        rivals = self.directory.rivals(announcement)
+        self.log.info(
+            event,
+            server=announcement.identity,
+            service=announcement.service,
+            address=announcement.address,
+            born=announcement.born_ms,
+            sequence=announcement.sequence,
+            contested=announcement.is_contested,
+            rivals=[each.announcement.identity for each in rivals],
+            heard_of_them_ms_ago=[now_ms - each.last_seen_ms for each in rivals],
+        )
+
+    def apply_announcement(self, announcement, seen_ms, to_peers):
+        """Record an announcement that takes effect; publish any change."""
         if announcement.phase is not servers.ServerPhase.GONE:
             software = announcement.software
             self.versions.record(announcement.service, software, seen_ms)
@@ -264,6 +313,7 @@
         age_ms,
         announcement.version,
         announcement.ended_by_ms or 0,
+        announcement.is_contested,
     )
 
 
@@ -283,6 +333,7 @@
         record.cold_ms,
         record.version,
         record.ended_by_ms or None,
+        record.is_contested,
     )
 
 
--- a/brasstrail/tools/soak.py
+++ b/brasstrail/tools/soak.py
@@ -128,6 +128,7 @@
                 self.observations,
                 self.options.routes,
             )
+            self.load.server_addresses = self.server_addresses()
             await self.wait_ready()
             load_tasks = self.load.start()
             restarts = asyncio.ensure_future(self.restart_ended_servers())
@@ -213,6 +214,13 @@
                 )
                 self.start_server(name)
 
+    def server_addresses(self):
+        """Return the addresses that the backend servers announce."""
+        return [
+            f"127.0.0.1:{arguments[0][3]}"
+            for arguments in self.server_arguments.values()
+        ]
+
     def start_server(self, name):
         """Start the process of a backend server."""
         arguments = [
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -516,10 +516,23 @@
     await crowd.wait()
 
 
-# How long a report is under way that arrives after a loss of everything.
+# How long a report is under way that arrives after a withdrawal.
 LATE_REPORT_S = (1.0, 6.0)
 
 
+@cluster_fault("withdraw a server that has not been heard of, and report late")
+async def report_first_after_withdrawal(soak, kind):
+    """Let the first report of a server arrive after its withdrawal."""
+    soak.fault_counts[kind] += 1
+    phantom = soakforeign.Phantom(soak.load, f"u-{soak.fault_counts[kind]}")
+    soak.observations.phantoms.append(phantom)
+    await phantom.start()
+    await asyncio.sleep(soak.random.uniform(*LATE_REPORT_S))
+    await phantom.withdraw()
+    await asyncio.sleep(soak.random.uniform(*LATE_REPORT_S))
+    await phantom.report(1)
+
+
 @cluster_fault("withdraw a server, lose everything, and report late")
 async def report_late(soak, kind):
     """Let a report from before a withdrawal arrive after all processes were killed."""
--- a/brasstrail/tools/soakforeign.py
+++ b/brasstrail/tools/soakforeign.py
@@ -2,7 +2,8 @@
 
 In every run another writer reports to the control hosts beside the backend servers: a
 service that no document names, values that cannot be passed on or used, or what is no
-report at all. It moves on to another control host as servers do.
+report at all, in part at the address of a server that runs. It moves on to another
+control host as servers do.
 
 A `Phantom` is a server of the soak itself that rejects all requests. It is announced,
 withdraws, and a report of it from before arrives after all processes were killed.
@@ -18,6 +19,9 @@
 from brasstrail.tools import soakcheck
 
 REPORT_INTERVAL_S = 0.4
+UNUSED_ADDRESS = "127.0.0.1:9"
+# The fraction of reports that claim the address of a server that runs.
+CLAIM_FRACTION = 0.5
 
 
 async def run_foreign_writer(load):
@@ -26,9 +30,15 @@
     while not load.stopped:
         number += 1
         odd = load.random.choice(foreign.ODD_REPORTS)
+        address = UNUSED_ADDRESS
+        if load.random.random() < CLAIM_FRACTION:
+            odd = load.random.choice(foreign.CLAIMS)
+            address = load.random.choice(load.server_addresses)
         body = odd
         if isinstance(odd, dict):
-            body = orjson.dumps(foreign.make_report("127.0.0.1:9", number, odd))
+            born_ms = load.random.choice((1, int(time.time() * 1000)))
+            changes = {"born": born_ms, **odd}
+            body = orjson.dumps(foreign.make_report(address, number, changes))
         control = load.random.choice(load.controls)
         status = await foreign.call_control(control, "PUT", f"m-{number % 7}", body)
         load.observations.foreign_reports.append((time.time(), status, repr(odd)[:60]))
@@ -54,6 +64,7 @@
         self.load = load
         self.identity = identity
         self.server = None
+        self.born_ms = int(time.time() * 1000)
         self.address = ""
         self.arrivals = []
         self.withdrawn_at = None
@@ -76,7 +87,8 @@
 
     async def report(self, sequence):
         """Report as ready; return whether that was acknowledged."""
-        body = orjson.dumps(foreign.make_report(self.address, sequence))
+        start = {"born": self.born_ms}
+        body = orjson.dumps(foreign.make_report(self.address, sequence, start))
         return await self.call_control("PUT", body) == 200
 
     async def call_control(self, method, body):
--- a/brasstrail/tools/soakload.py
+++ b/brasstrail/tools/soakload.py
@@ -86,6 +86,7 @@
     fixed_routes : how many routes each document has that nobody requests.
 
     `number` is that of the last request, `version` that of the last new document.
+    `server_addresses` are those that backend servers announce.
     """
 
     def __init__(self, gateways, controls, seed, observations, fixed_routes=0):
@@ -101,6 +102,7 @@
             OPERATOR_TIMEOUT_S + fixed_routes * OPERATOR_TIMEOUT_A_ROUTE_S
         )
         self.stopped = False
+        self.server_addresses = ()
         observations.allotment = (
             LIMITED_WORKSPACE,
             LIMITED_RATE_PER_S,
