Admit nothing with a key without a lease, also on a public route

Cause: find_access returned for a public route before it looked at the lease. Admission, the look at the head and explain each asked for the lease on their own.

Change: find_route and find_access are what all three use, and check_catalog alone decides whether the copy may be used. Without a lease nothing with a key is admitted, also where the copy holds no keys. Requests without a key on a route that is public in the copy go on being served (the rule is about keys, and such requests are owed at a machine that is cut off; the test of that stays).

Looked at and found sound: a request is admitted after it was sent and with a lease that covers that moment, so that one that waits, is sent once more or goes on as a stream was allowed within revoke_ms; versions in a roll-out ask for a fresh lease of their own; allotments do not depend on the copy's age.

--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -39,13 +39,8 @@
     """Return an `AdmittedRequest`; raise `refusals.Refused` if it is not admitted."""
     check_gateway(gateway)
     gateway.record_use()
-    is_catalog_trusted = gateway.lease.is_valid or not gateway.settings.fails_closed
-    route = gateway.catalog.find_route(call.host, call.path)
-    if route is None:
-        if not is_catalog_trusted:
-            raise refusals.Refused(503, "lease", CONTROL_RETRY_S)
-        raise refusals.Refused(404, "no_route")
-    access = find_access(gateway.catalog, route, call.key, is_catalog_trusted)
+    route = find_route(gateway, call.host, call.path)
+    access = find_access(gateway, route, call.key)
     tier = route.tier
     if access is not None and access.tier is not None:
         tier = access.tier
@@ -72,12 +67,12 @@
         raise refusals.Refused(503, "stopping", STOPPING_RETRY_S)
     if gateway.catalog is None:
         return
-    if gateway.settings.fails_closed and not gateway.lease.is_valid:
-        return
-    route = gateway.catalog.find_route(call.host, call.path)
-    if route is None:
-        raise refusals.Refused(404, "no_route")
-    find_access(gateway.catalog, route, call.key, True)
+    try:
+        route = find_route(gateway, call.host, call.path)
+        find_access(gateway, route, call.key)
+    except refusals.Refused as refusal:
+        if refusal.reason not in TRANSIENT_REASONS:
+            raise
 
 
 def check_gateway(gateway):
@@ -97,18 +92,37 @@
     return min(route.time_limit_ms, call.deadline_ms)
 
 
-def find_access(active_catalog, route, key, is_catalog_trusted):
-    """Return the `catalog.WorkspaceAccess` of a key, or None if none is required."""
-    access = active_catalog.workspaces_by_key.get(key)
-    if not active_catalog.workspaces or route.is_public:
-        return access
-    if not is_catalog_trusted:
-        raise refusals.Refused(503, "lease", CONTROL_RETRY_S)
-    if access is None:
+def find_route(gateway, host, path):
+    """Return the route of a request; raise `refusals.Refused` if there is none."""
+    route = gateway.catalog.find_route(host, path)
+    if route is None:
+        check_catalog(gateway)
+        raise refusals.Refused(404, "no_route")
+    return route
+
+
+def find_access(gateway, route, key):
+    """Return the `catalog.WorkspaceAccess` of a key, or None if none is required.
+
+    Without a lease nothing with a key is admitted, also where this gateway's copy asks
+    for none: both may have been taken away since. Raises `refusals.Refused`.
+    """
+    needs_key = bool(gateway.catalog.workspaces) and not route.is_public
+    if key is None and not needs_key:
+        return None
+    check_catalog(gateway)
+    access = gateway.catalog.workspaces_by_key.get(key)
+    if access is None and needs_key:
         raise refusals.Refused(401, "unknown_key")
     return access
 
 
+def check_catalog(gateway):
+    """Raise `refusals.Refused` if the copy of keys and routes may not be used."""
+    if gateway.settings.fails_closed and not gateway.lease.is_valid:
+        raise refusals.Refused(503, "lease", CONTROL_RETRY_S)
+
+
 def take_allotment(gateway, access, call, tier):
     """Charge a request's cost to its workspace; return the cost.
 
--- a/brasstrail/roles/explaining.py
+++ b/brasstrail/roles/explaining.py
@@ -103,15 +103,11 @@
     Raises `refusals.Refused` if the request is not admitted.
     """
     admitting.check_gateway(gateway)
-    is_trusted = gateway.lease.is_valid or not gateway.settings.fails_closed
-    route = gateway.catalog.find_route(question.host, question.path.partition("?")[0])
-    if route is None and not is_trusted:
-        raise refusals.Refused(503, "lease", admitting.CONTROL_RETRY_S)
-    if route is None:
-        raise refusals.Refused(404, "no_route")
+    path = question.path.partition("?")[0]
+    route = admitting.find_route(gateway, question.host, path)
     answer["route"] = route.name
     key = question.key or find_key(gateway.catalog, question.workspace)
-    access = admitting.find_access(gateway.catalog, route, key, is_trusted)
+    access = admitting.find_access(gateway, route, key)
     tier = route.tier
     if access is not None and access.tier is not None:
         tier = access.tier
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -447,6 +447,39 @@
         status, _, _ = await self.call("public", key="")
         self.assertEqual(status, 200)
 
+    async def test_key_is_not_used_without_a_lease_on_a_public_route(self):
+        """Guards against a revoked key that a gateway serves after a freeze or cut."""
+        (server,) = await self.serve([scripted.reply()])
+        self.expire_lease(10_000)
+        for key in ("k", "other"):
+            status, headers, _ = await self.call("public", key=key)
+            self.assertEqual(status, 503)
+            self.assertIn("retry-after", headers)
+        self.put_document({**DOCUMENT, "version": 2, "tenants": []})
+        status, _, _ = await self.call("safe", key="k")
+        self.assertEqual((status, server.requests), (503, []))
+        self.renew_lease()
+        for route in ("public", "safe"):
+            status, _, _ = await self.call(route, key="k")
+            self.assertEqual(status, 200)
+
+    async def test_revoked_key_on_a_route_that_was_public_waits_for_the_lease(self):
+        """Guards against an old copy that decides in the moment after a freeze."""
+        (server,) = await self.serve([scripted.reply()])
+        self.expire_lease(1000)
+        call = asyncio.ensure_future(self.call("public", key="k"))
+        await wait_until(lambda: self.gateway.lease.waiting)
+        self.renew_lease()
+        closed = {**DOCUMENT["routes"][-1], "public": False}
+        revoked = [{"name": "w", "api_keys": ["k2"]}]
+        routes = [*DOCUMENT["routes"][:-1], closed]
+        self.put_document(
+            {**DOCUMENT, "version": 2, "routes": routes, "tenants": revoked}
+        )
+        status, _, _ = await call
+        self.assertEqual(status, 401)
+        self.assertEqual(server.requests, [])
+
     def expire_lease(self, ago_ms):
         """Set the startup and the expiry of the lease to `ago_ms` milliseconds ago."""
         self.gateway.lease.started_ms = clock.now_ms() - ago_ms
