Show no API key to servers, whatever is known of it

Cause: Authorization was left out only where the workspace is known. On a route that is public in the gateway's copy a key which that copy does not hold has none.

Change: what is forwarded never holds a key, in any header or place of a list. A request with an unknown key gets 401 on a public route, too (PROTOCOL.md: "A request with an unknown key receives 401"): run, it would be nobody's. A gateway whose copy was not confirmed within 2.5 s waits for its lease before it denies a key or route, and answers 503 if that does not come: 401 and 404 are final for callers, and the copy may be old.

Looked at and found sound: keys in logs and answers of explain (none); Connection options (what the system sets is set afterwards); trailers (refused). Changed: reserved headers with underscores, which some servers read as hyphens.

--- a/brasstrail/platform/headers.py
+++ b/brasstrail/platform/headers.py
@@ -44,6 +44,8 @@
 # The path at which a server reports on itself. Its `born` is when it started.
 REPORT_PATH = "/v1/report"
 API_KEY_SCHEME = "token "
+# The scheme anywhere in a list of credentials, as it may stand beside another one.
+API_KEY_PATTERN = re.compile(r"(^|[\s,])token\s", re.IGNORECASE)
 # The highest count that a header states: tokens, requests, slots or seconds. Sums of
 # those of all requests fit into the messages between gateways.
 MAX_COUNT = 10**9
@@ -132,6 +134,22 @@
     return value.strip().partition(":")[0].lower()
 
 
+def carries_api_key(name, value):
+    """Return whether a header may show an API key to whom it is sent."""
+    return is_header(name, "authorization") and bool(API_KEY_PATTERN.search(value))
+
+
+def is_header(name, wanted):
+    """Return whether a header is the wanted one, as some servers read its name.
+
+    Some take an underscore for a hyphen. `wanted` is in lower case.
+
+    >>> is_header("X_Tenant_Id", "x-tenant-id")
+    True
+    """
+    return name.lower().replace("_", "-") == wanted
+
+
 def parse_api_key(value):
     """Return the API key in an `Authorization` header, or None."""
     if value is None or not value.lower().startswith(API_KEY_SCHEME):
@@ -142,8 +160,8 @@
 def forwarded_headers(headers, excluded=frozenset()):
     """Return the headers to forward, as (name, value) pairs.
 
-    Leaves out hop-by-hop headers, those that `Connection` lists, and those in
-    `excluded`, which holds names in lower case.
+    Leaves out hop-by-hop headers, those that `Connection` lists, those in `excluded`,
+    which holds names in lower case, and API keys.
     """
     connection_options = {
         option.strip().lower()
@@ -156,8 +174,9 @@
         lower_name = name.lower()
         if (
             lower_name in HOP_BY_HOP_HEADERS
-            or lower_name in excluded
+            or lower_name.replace("_", "-") in excluded
             or lower_name in connection_options
+            or carries_api_key(name, value)
         ):
             continue
         forwarded.append((name, value))
@@ -225,13 +244,13 @@
     """Return the request headers to send to a backend server.
 
     `identity` is the only server that may process the request. `workspace` is the
-    caller's workspace, or None; if it is set, the caller's `Authorization` header
-    is not sent. `remaining_ms` is how long the caller still waits. `resume_after`
+    caller's workspace, or None; if it is set, no `Authorization` header of the caller
+    is sent. `remaining_ms` is how long the caller still waits. `resume_after`
     is the id of the last event that the caller received, or an empty string.
     """
     headers = httputil.HTTPHeaders()
     for name, value in call.headers:
-        if name.lower() == "authorization" and workspace is not None:
+        if is_header(name, "authorization") and workspace is not None:
             continue
         headers.add(name, value)
     headers[EXPECTED_SERVER_HEADER] = identity
--- a/brasstrail/platform/platform_test.py
+++ b/brasstrail/platform/platform_test.py
@@ -222,6 +222,37 @@
         self.assertNotIn("Authorization", sent)
         self.assertEqual(sent["X-Model-Id"], "m")
 
+    def test_no_server_is_shown_a_key_whatever_is_known_of_it(self):
+        """Guards against a key that is passed on as its workspace is not known."""
+        for value in (
+            "Token secret",
+            "token secret",
+            "TOKEN   secret",
+            "Token\tsecret",
+            "Basic abc, Token secret",
+        ):
+            http_headers = httputil.HTTPHeaders()
+            http_headers.add("Authorization", "Basic abc")
+            http_headers.add("authorization", value)
+            start_line = httputil.RequestStartLine("GET", "/a/", "HTTP/1.1")
+            call = headers.read_call(start_line, http_headers)
+            for workspace in (None, "w"):
+                sent = headers.server_headers(call, "i", workspace, 1, "")
+                self.assertNotIn("secret", str(list(sent.get_all())))
+
+    def test_forwards_credentials_that_are_no_key_where_none_is_needed(self):
+        call = self.make_call(Authorization="Basic abc")
+        sent = headers.server_headers(call, "i", None, 1, "")
+        self.assertEqual(sent["Authorization"], "Basic abc")
+        self.assertNotIn("Authorization", headers.server_headers(call, "i", "w", 1, ""))
+
+    def test_reserved_headers_with_underscores_are_not_forwarded(self):
+        http_headers = httputil.HTTPHeaders()
+        http_headers.add("X_Tenant_Id", "other")
+        http_headers.add("X-Expected_Instance", "other")
+        start_line = httputil.RequestStartLine("GET", "/a/", "HTTP/1.1")
+        self.assertEqual(headers.read_call(start_line, http_headers).headers, ())
+
     def test_does_not_forward_hop_by_hop_headers(self):
         call = self.make_call(
             Connection="close, x-mine", X_Mine="1", TE="x", X_Other="2"
--- a/brasstrail/roles/admitting.py
+++ b/brasstrail/roles/admitting.py
@@ -96,8 +96,7 @@
     """Return the route of a request; raise `refusals.Refused` if there is none."""
     route = gateway.catalog.find_route(host, path)
     if route is None:
-        check_catalog(gateway)
-        raise refusals.Refused(404, "no_route")
+        raise make_denial(gateway, 404, "no_route")
     return route
 
 
@@ -105,22 +104,28 @@
     """Return the `catalog.WorkspaceAccess` of a key, or None if none is required.
 
     Without a lease nothing with a key is admitted, also where this gateway's copy asks
-    for none: both may have been taken away since. Raises `refusals.Refused`.
+    for none: both may have been taken away since. An unknown key is refused on a public
+    route, too: whose requests they are would be unknown. Raises `refusals.Refused`.
     """
-    needs_key = bool(gateway.catalog.workspaces) and not route.is_public
-    if key is None and not needs_key:
+    has_keys = bool(gateway.catalog.workspaces)
+    if key is None and (route.is_public or not has_keys):
         return None
-    check_catalog(gateway)
+    if not gateway.is_catalog_trusted:
+        raise refusals.Refused(503, "lease", CONTROL_RETRY_S)
     access = gateway.catalog.workspaces_by_key.get(key)
-    if access is None and needs_key:
-        raise refusals.Refused(401, "unknown_key")
+    if access is None and has_keys:
+        raise make_denial(gateway, 401, "unknown_key")
     return access
 
 
-def check_catalog(gateway):
-    """Raise `refusals.Refused` if the copy of keys and routes may not be used."""
-    if gateway.settings.fails_closed and not gateway.lease.is_valid:
-        raise refusals.Refused(503, "lease", CONTROL_RETRY_S)
+def make_denial(gateway, status, reason):
+    """Return a refusal of what the copy of keys and routes does not hold.
+
+    While a newer one may be in force, the caller is told to come back instead.
+    """
+    if not gateway.is_catalog_fresh:
+        return refusals.Refused(503, "lease", CONTROL_RETRY_S)
+    return refusals.Refused(status, reason)
 
 
 def take_allotment(gateway, access, call, tier):
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -246,6 +246,16 @@
         is_serving = not self.shutdown.is_begun and self.catalog is not None
         return is_serving and self.lease.is_fresh
 
+    @property
+    def is_catalog_trusted(self):
+        """Whether the copy of keys and routes may be used to admit requests."""
+        return self.lease.is_valid or not self.settings.fails_closed
+
+    @property
+    def is_catalog_fresh(self):
+        """Whether that copy is recent enough to deny what it does not hold."""
+        return self.lease.is_fresh or not self.settings.fails_closed
+
     def is_discovering_servers(self):
         """Return whether some servers may not have announced themselves since startup.
 
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -430,6 +430,7 @@
             ("safe", "other", 401),
             ("safe", "", 401),
             ("public", "", 200),
+            ("public", "other", 401),
             ("none", "k", 404),
         ):
             with self.subTest(route=route, key=key):
@@ -480,6 +481,31 @@
         self.assertEqual(status, 401)
         self.assertEqual(server.requests, [])
 
+    async def test_new_key_on_a_route_that_was_public_waits_for_the_lease(self):
+        """Guards against a server that is shown a key which the gateway does not know.
+
+        It also guards against a request of a workspace that runs as nobody's.
+        """
+        (server,) = await self.serve([scripted.reply()])
+        lease_ms = self.settings.gateway.lease_ms
+        self.expire_lease(-lease_ms // 4)
+        self.assertTrue(self.gateway.lease.is_valid)
+        call = asyncio.ensure_future(self.call("public", key="new"))
+        await wait_until(lambda: self.gateway.lease.waiting)
+        closed = {**DOCUMENT["routes"][-1], "public": False}
+        routes = [*DOCUMENT["routes"][:-1], closed]
+        added = [{"name": "w", "api_keys": ["k", "new"]}]
+        self.put_document(
+            {**DOCUMENT, "version": 2, "routes": routes, "tenants": added}
+        )
+        self.renew_lease()
+        self.gateway.on_lease_renewed()
+        status, _, _ = await call
+        self.assertEqual(status, 200)
+        (request,) = server.requests
+        self.assertNotIn("new", str(request.headers))
+        self.assertEqual(request.headers["x-tenant-id"], "w")
+
     def expire_lease(self, ago_ms):
         """Set the startup and the expiry of the lease to `ago_ms` milliseconds ago."""
         self.gateway.lease.started_ms = clock.now_ms() - ago_ms
