Take an answer with a status that is none for no answer

Cause: Tornado and libcurl take any three digits, the connection took all below 200 for interim answers, and the agents' client had a pattern of its own.

Change: transport/statuses.py says what a status is, 100 to 599; the connection and the agents' client both ask it before they read anything else of a head.

--- a/brasstrail/roles/backend.py
+++ b/brasstrail/roles/backend.py
@@ -13,12 +13,14 @@
 import pycurl
 from tornado import curl_httpclient, httpclient, httputil
 
+from brasstrail.transport import statuses
+
 CONNECT_TIMEOUT_S = 2.0
 FETCH_TIMEOUT_S = 1.0
 NO_TIMEOUT_S = 0
 MAX_CLIENTS = 1000
 MAX_HELD_BYTES = 65536
-STATUS_LINE = re.compile(r"HTTP/\S+ ([1-9][0-9]{2})(?: |$)")
+STATUS_LINE = re.compile(rf"HTTP/\S+ ({statuses.STATUS_PATTERN})(?: |$)")
 UNSENT_ERRNOS = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -166,7 +168,7 @@
             self.lines = []
         elif line:
             self.lines.append(line)
-        elif self.status >= 200:
+        elif self.status >= statuses.FIRST_FINAL_STATUS:
             self.headers = forwarded_header_lines(parse_header_lines(self.lines))
             self.head_received = True
             self.state_changed.set()
--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -14,7 +14,7 @@
 from tornado import http1connection, httputil, iostream, tcpclient
 
 from brasstrail.core import bounds, clock, errors
-from brasstrail.transport import intake
+from brasstrail.transport import intake, statuses
 
 # Also what is read from the socket at once, for each connection.
 CHUNK_BYTES = 16_384
@@ -121,15 +121,17 @@
         """Store the head; interim answers are passed to `on_interim`.
 
         Raises `httputil.HTTPInputError`, upon which the connection is closed, if there
-        are too many of these.
+        are too many of these, or if the status is none.
         """
-        if start_line.code < 200:
+        if not statuses.is_status(start_line.code):
+            raise httputil.HTTPInputError("The status of an answer is none.")
+        if start_line.code < statuses.FIRST_FINAL_STATUS:
             self.interim_answers += 1
             if self.interim_answers > MAX_INTERIM_ANSWERS:
                 raise httputil.HTTPInputError("The server sends only interim answers.")
             if self.on_interim is not None:
                 self.on_interim(start_line, headers)
-        if start_line.code >= 200 and not self.head.done():
+        elif not self.head.done():
             self.framing = find_framing(start_line.code, headers)
             self.head.set_result((start_line, headers))
 
