Take no answer for whole that ends while its request is being written

Without a relay a reset was never taken for an end, with 40 kB, 400 kB and 8 MB, three routes and the agents' client.

Cause: an answer that only its connection frames was whole once that ended in order, whatever was still to be written.

Change: such an end counts as a reset while the request is being written.

Open: uploads that fit into the buffers, and the agents' client.

--- a/brasstrail/transport/upstream.py
+++ b/brasstrail/transport/upstream.py
@@ -257,12 +257,14 @@
 
         An answer that is whole according to its length or chunks stays so if the
         connection fails afterwards. For the parser, a body that is framed by its
-        connection ends with the connection, however that ended.
+        connection ends with the connection, however that ended. An end in order while
+        the request is still being written may be a reset that a relay has seen.
         """
         is_framed = answer.framing in (Framing.LENGTH, Framing.CHUNKS)
         if answer.is_parsed and is_framed:
             return AnswerEnd.WHOLE
-        return AnswerEnd.CLOSED if self.stream.error is None else AnswerEnd.RESET
+        ended_in_order = self.stream.error is None and not self.is_writing
+        return AnswerEnd.CLOSED if ended_in_order else AnswerEnd.RESET
 
     async def read_head(self):
         """Return the start line and the headers of the answer."""
@@ -317,11 +319,15 @@
         self.stream.set_close_callback(self.close)
         return True
 
+    @property
+    def is_writing(self):
+        """Whether a request is still being written."""
+        return self.write_future is not None and not self.write_future.done()
+
     def is_ready_for_next(self):
         """Return whether a request was answered and another one may be sent."""
         is_whole = self.answer is not None and self.answer.end is AnswerEnd.WHOLE
-        is_written = self.write_future is not None and self.write_future.done()
-        return is_whole and is_written and self.is_open_and_drained()
+        return is_whole and not self.is_writing and self.is_open_and_drained()
 
     def is_open_and_drained(self):
         """Return whether the connection is open and has no unread bytes."""
