Close connections at a planned stop once answers have been sent

Cause: the stop waits for the tasks of requests. A task ends when its answer has been buffered, and what is buffered was dropped with its connection.

A log line says whether one was cut.

--- a/brasstrail/roles/shutdown.py
+++ b/brasstrail/roles/shutdown.py
@@ -4,7 +4,8 @@
 killed. It says at once that it is not ready, accepts requests for as long as callers
 may still be routed to it, and passes on only what can be expected to end in time. What
 waits for a server is refused while its caller can still go elsewhere, and what has no
-answer shortly before the end gets one that is true. Nothing is left without an answer.
+answer shortly before the end gets one that is true. Nothing is left without an answer,
+and connections are closed once answers have been sent, not only made.
 The other gateways are told last what this one has spent.
 """
 
@@ -66,6 +67,15 @@
         now_ms = clock.now_ms()
         return now_ms - self.since_ms < ACCEPT_MS and now_ms < self.answer_ms
 
+    @property
+    def has_unsent_answers(self):
+        """Whether answers are still being made or sent.
+
+        The task of a request ends when its answer has been buffered; a slow caller
+        takes seconds to receive it.
+        """
+        return bool(self.gateway.running) or self.gateway.http.is_sending
+
     def latest_start_ms(self, work):
         """Return until when a `pool.Work` may be passed on so that it ends in time."""
         if self.since_ms is None:
@@ -77,7 +87,7 @@
         return self.answer_ms - expected_ms
 
     async def run(self):
-        """Stop the gateway; return once all requests have ended."""
+        """Stop the gateway; return once all answers have been sent."""
         gateway = self.gateway
         self.since_ms = clock.now_ms()
         self.log.info(
@@ -96,8 +106,9 @@
             request.is_shut_down = True
             task.cancel()
         await self.wait_while(
-            lambda: gateway.running and clock.now_ms() < self.close_ms
+            lambda: self.has_unsent_answers and clock.now_ms() < self.close_ms
         )
+        self.log.info("shutdown: Closed.", cut=gateway.http.is_sending)
         gateway.gossip.send_all()
         await gateway.http.close_all_connections()
 
--- a/brasstrail/roles/shutdown_test.py
+++ b/brasstrail/roles/shutdown_test.py
@@ -1,7 +1,9 @@
 """Tests of a gateway's planned stop, with real sockets and a short grace period."""
 
 import asyncio
+import contextlib
 import dataclasses
+import socket
 import unittest
 from unittest import mock
 
@@ -14,6 +16,10 @@
 ACCEPT_MS = 300
 # A server of the cases takes two requests for each of its four slots.
 PLACES = 8
+# How a slow caller receives: about 1.5 MB a second.
+SEGMENT_BYTES = 1460
+READ_BYTES = 8192
+READ_INTERVAL_S = 0.005
 LONG_EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 200)]
 DOCUMENT = {
     **gateway_test.DOCUMENT,
@@ -33,6 +39,36 @@
 }
 
 
+class SlowCaller:
+    """A caller behind a slow link, with a small buffer and small segments.
+
+    `received` is what it has received of the answer.
+    """
+
+    def __init__(self, case, read_interval_s=READ_INTERVAL_S):
+        self.read_interval_s = read_interval_s
+        self.address = case.settings.gateway.http_address
+        self.received = b""
+
+    async def call(self):
+        """Send a request; return what was received until the connection ended."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        with socket.socket() as channel:
+            channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            channel.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+            channel.setblocking(False)
+            await loop.sock_connect(channel, (host, int(port)))
+            head = b"GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 42\r\n"
+            head += b"Authorization: Token k\r\n\r\n"
+            await loop.sock_sendall(channel, head)
+            with contextlib.suppress(ConnectionResetError):
+                while part := await loop.sock_recv(channel, READ_BYTES):
+                    self.received += part
+                    await asyncio.sleep(self.read_interval_s)
+        return self.received
+
+
 class ShutdownTest(gateway_test.GatewayCase):
     """A gateway that is told to stop; each row is a state of a request."""
 
@@ -122,6 +158,26 @@
                 else:
                     self.assertEqual(status, expected)
 
+    async def test_answers_that_are_still_being_sent_are_not_cut(self):
+        """Guards against a stop that drops what slow callers have not received."""
+        body = bytes(900_000)
+        await self.serve([scripted.reply(body=body)])
+        callers = [SlowCaller(self) for _ in range(3)]
+        tasks = [asyncio.ensure_future(each.call()) for each in callers]
+        await gateway_test.wait_until(lambda: all(each.received for each in callers))
+        await gateway_test.wait_until(lambda: not self.gateway.running)
+        self.assertLess(await self.stop(), 1000 * GRACE_S)
+        for received in await asyncio.gather(*tasks):
+            self.assertTrue(received.endswith(b"\r\n\r\n" + body))
+
+    async def test_stop_does_not_outlast_the_grace_for_callers_that_do_not_read(self):
+        await self.serve([scripted.reply(body=bytes(900_000))])
+        caller = SlowCaller(self, read_interval_s=60)
+        calling = asyncio.ensure_future(caller.call())
+        await gateway_test.wait_until(lambda: caller.received)
+        self.assertLess(await self.stop(), 1000 * GRACE_S)
+        calling.cancel()
+
     async def test_answer_that_would_end_too_late_is_not_begun(self):
         """Guards against a long answer that is begun only to be cut."""
         await self.serve([scripted.stream(LONG_EVENTS[:2])])
--- a/brasstrail/transport/listening.py
+++ b/brasstrail/transport/listening.py
@@ -311,6 +311,11 @@
         self.account = account
         self.header_timeout_ms = catalog.CallerLimits().header_timeout_ms
 
+    @property
+    def is_sending(self):
+        """Whether some of an answer has not been passed to the operating system."""
+        return any(each.stream.writing() for each in self._connections)
+
     def _handle_connection(self, connection, address):
         """Serve a connection, or close it if there are too many."""
         if not self.account.make_connection_room():
