Bound what an agent takes of a short answer

Cause: fetch_json was bounded in time only.

Change: 1 MB, which libcurl enforces; calls of requests, which use the same handles, set no bound.

--- a/brasstrail/roles/backend.py
+++ b/brasstrail/roles/backend.py
@@ -17,7 +17,9 @@
 
 CONNECT_TIMEOUT_S = 2.0
 FETCH_TIMEOUT_S = 1.0
+MAX_FETCHED_BYTES = 1024 * 1024
 NO_TIMEOUT_S = 0
+NO_SIZE_LIMIT = 0
 MAX_CLIENTS = 1000
 MAX_HELD_BYTES = 65536
 STATUS_LINE = re.compile(rf"HTTP/\S+ ({statuses.STATUS_PATTERN})(?: |$)")
@@ -150,6 +152,8 @@
         answer, although the server may have run the first one.
         """
         self.curl = curl
+        # The client uses its handles again.
+        curl.setopt(pycurl.MAXFILESIZE, NO_SIZE_LIMIT)
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
         curl.setopt(pycurl.WRITEFUNCTION, self.handle_body_chunk)
@@ -223,17 +227,24 @@
     """Do nothing: `Call.handle_body_chunk` receives the body."""
 
 
+def limit_answer(curl):
+    """Let a transfer fail once its answer is longer than `MAX_FETCHED_BYTES`."""
+    curl.setopt(pycurl.MAXFILESIZE, MAX_FETCHED_BYTES)
+
+
 async def fetch_json(client, url, body=None):
     """Return the JSON answer of a short call to the backend server.
 
     Sends a POST with `body` as JSON, or a GET without it. Returns None if the call
-    fails, takes longer than `FETCH_TIMEOUT_S`, or returns no JSON.
+    fails, takes longer than `FETCH_TIMEOUT_S`, or returns no JSON, or more of it than
+    `MAX_FETCHED_BYTES`.
     """
     request = httpclient.HTTPRequest(
         url,
         method="GET" if body is None else "POST",
         body=None if body is None else orjson.dumps(body),
         request_timeout=FETCH_TIMEOUT_S,
+        prepare_curl_callback=limit_answer,
     )
     try:
         response = await client.fetch(request)
--- a/brasstrail/roles/backend_test.py
+++ b/brasstrail/roles/backend_test.py
@@ -5,8 +5,11 @@
 
 from tornado import testing
 
+from brasstrail.fakes import endless, scripted
 from brasstrail.roles import backend
 
+# A short answer, and the buffers of the sockets.
+MAX_TAKEN_BYTES = 16 * 1024 * 1024
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -103,3 +106,46 @@
         await task
         self.assertEqual(received, size)
         self.assertIsNone(call.failure)
+
+    @testing.gen_test
+    async def test_short_call_takes_a_bounded_part_of_an_answer_without_end(self):
+        """Guards against an agent that keeps all that a faulty engine sends."""
+        for name in endless.ANSWERS:
+            with self.subTest(name):
+                server, answer = endless.serve(name)
+                await server.start()
+                url = f"http://{server.address}/models"
+                self.assertIsNone(await backend.fetch_json(self.client, url))
+                self.assertLess(answer.sent_bytes, MAX_TAKEN_BYTES)
+                server.close()
+
+    @testing.gen_test
+    async def test_head_without_end_is_bounded(self):
+        for name in ("head of one line", "head of many lines", "interim answers"):
+            with self.subTest(name):
+                server, answer = endless.serve(name)
+                await server.start()
+                call = backend.Call(self.client)
+                await call.run(f"http://{server.address}/", "POST", (), b"{}")
+                self.assertIsNotNone(call.failure)
+                self.assertLess(answer.sent_bytes, MAX_TAKEN_BYTES)
+                server.close()
+
+    @testing.gen_test
+    async def test_answer_after_a_short_call_is_not_bounded(self):
+        """The client uses its handles again, with their options."""
+        body = bytes(2 * backend.MAX_FETCHED_BYTES)
+        step = scripted.reply(body=body)
+        server = scripted.ScriptedServer(step)
+        await server.start()
+        for _ in range(2):
+            url = f"http://{server.address}/x"
+            self.assertIsNone(await backend.fetch_json(self.client, url))
+            call = backend.Call(self.client)
+            task = asyncio.create_task(call.run(url, "POST", (), b"{}"))
+            received = 0
+            while chunk := await call.read(None):
+                received += len(chunk)
+            await task
+            self.assertEqual((received, call.failure), (len(body), None))
+        server.close()
