Go on after a disk that refuses to remove or close a file

Cause: only errors of writes became errors.DiskFailed, after which the replica tries again. An OSError of unlink or close stopped it.

The remedy in the error no longer asks to start a process again that goes on by itself.

--- a/brasstrail/roles/replication_test.py
+++ b/brasstrail/roles/replication_test.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import errno
 import tempfile
 import unittest
+from unittest import mock
 
 import structlog
 
@@ -25,6 +27,13 @@
     """A disk on which putting a file in place can be made to fail."""
 
     fails = False
+    append_errors = 0
+
+    def append(self, file, content):
+        if self.append_errors:
+            self.append_errors -= 1
+            raise errors.DiskFailed("The device is full.", "Free space.")
+        super().append(file, content)
 
     def replace(self, path, chunk):
         if self.fails:
@@ -86,6 +95,39 @@
         self.assertEqual(self.replication.machine.document.version, 100)
 
 
+class RefusingDiskTest(SnapshotTest):
+    """A disk that refuses more than the writes of the log."""
+
+    async def test_replica_goes_on_after_a_disk_that_refuses_to_remove_files(self):
+        """Guards against changes that stay unanswered once a disk has room again."""
+        error = OSError(errno.ENOSPC, "No space left on device")
+        with mock.patch("pathlib.Path.unlink", side_effect=error) as unlink:
+            for version in range(1, 4 * SNAPSHOT_EVERY):
+                await self.commit(version)
+            self.assertTrue(unlink.called)
+        await self.commit(4 * SNAPSHOT_EVERY)
+        self.assertIsNone(self.replication.failed)
+
+    async def test_replica_goes_on_after_a_segment_that_cannot_be_closed(self):
+        """Guards against the same where the disk fails when a file is closed."""
+        stack = self.replication.journal.exit_stack
+        close = stack.close
+        error = OSError(errno.ENOSPC, "No space left on device")
+        outcomes = iter((error, error))
+
+        def fail_to_close():
+            close()
+            if outcome := next(outcomes, None):
+                raise outcome
+
+        stack.close = fail_to_close
+        self.disk.append_errors = 1
+        await self.commit(1)
+        await self.commit(2)
+        self.assertIsNone(next(outcomes, None))
+        self.assertIsNone(self.replication.failed)
+
+
 class LogSizeTest(SnapshotTest):
     """The log of a replica with the default settings, and large documents."""
 
--- a/brasstrail/state/files.py
+++ b/brasstrail/state/files.py
@@ -20,7 +20,7 @@
     except OSError as error:
         raise errors.DiskFailed(
             f"{path}: {error.strerror}.",
-            "Free space or replace the disk, then start the process again.",
+            "Free space or replace the disk; a process that runs then goes on.",
         ) from error
 
 
@@ -49,6 +49,11 @@
             finally:
                 os.close(descriptor)
 
+    def remove(self, path):
+        """Remove a file if it exists; that may come undone until `sync_folder`."""
+        with translate_os_errors(path):
+            pathlib.Path(path).unlink(missing_ok=True)
+
     def replace(self, path, content):
         """Create or replace a file atomically and durably."""
         path = pathlib.Path(path)
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -160,8 +160,13 @@
         self.close()
 
     def close(self):
-        """Close the open segment."""
-        self.exit_stack.close()
+        """Close the open segment.
+
+        Raises `errors.DiskFailed` if the disk fails only now to write; the segment is
+        closed all the same.
+        """
+        with files.translate_os_errors(self.folder):
+            self.exit_stack.close()
 
     # Identity.
 
@@ -331,7 +336,7 @@
         path = self.folder / f"snapshot-{snapshot.index:012d}.bin"
         self.write_file(path, snapshot)
         for _, old in self.snapshot_paths()[:-RETAINED_SNAPSHOTS]:
-            old.unlink(missing_ok=True)
+            self.disk.remove(old)
 
     def install_snapshot(self, snapshot):
         """Store a snapshot that replaces the whole log.
@@ -355,7 +360,7 @@
                 break
             if index is not None and self.segment_last_index[number] > index:
                 break
-            path.unlink(missing_ok=True)
+            self.disk.remove(path)
 
 
 def list_numbered_files(folder, pattern):
