--- a/brasstrail/fakes/fleetcalls.py
+++ b/brasstrail/fakes/fleetcalls.py
@@ -21,6 +21,8 @@
     "talk": ("streaming", False, ENGINE_SERVICE),
     "tale": ("streaming", True, ENGINE_SERVICE),
 }
+# Each third document makes this route public.
+SOMETIMES_PUBLIC_ROUTE = "look"
 # The first part of the prompts of each route for streams.
 ROUTE_PARTS = {"talk": "f0", "tale": "f1"}
 
@@ -96,7 +98,7 @@
             "priority": priority,
             "service": service,
             "max_attempts": 2,
-            "public": False,
+            "public": name == SOMETIMES_PUBLIC_ROUTE and version % 3 == 0,
             "resumable": resumable,
             "itl_goal_ms": 500,
         }
