Keep a server out that withdraws after another one has claimed it

Cause: record_end kept is_contested, which says that a server may announce itself again.

Change: its own end clears it.

--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -109,6 +109,7 @@
             phase=servers.ServerPhase.GONE,
             born_ms=latest(held.announcement.born_ms, announcement.born_ms),
             ended_by_ms=latest(held.announcement.ended_by_ms, announcement.ended_by_ms),
+            is_contested=False,
         )
         last_seen_ms = max(held.last_seen_ms, seen_ms)
         self.known[announcement.identity] = KnownServer(ended, last_seen_ms)
--- a/brasstrail/roles/registry_test.py
+++ b/brasstrail/roles/registry_test.py
@@ -77,6 +77,13 @@
         with self.at_its_time():
             self.registry.record_announcement(announcement, self.now_ms, to_peers=True)
 
+    def withdraw(self, identity, born_ms):
+        """Receive that a server is gone; its start is None if that is not stated."""
+        end = servers.make_end(identity, born_ms)
+        with self.at_its_time():
+            end = self.registry.with_end_time(end)
+            self.registry.record_announcement(end, self.now_ms, to_peers=True)
+
     def report_steadily(self, duration_ms, *starts):
         """Receive announcements of some starts each second for some time."""
         for _ in range(duration_ms // INTERVAL_MS):
@@ -168,14 +175,22 @@
 
     def test_end_of_a_server_that_waits_counts(self):
         self.installation.report(*NEW)
-        end = servers.make_end("b", 200)
-        with self.installation.at_its_time():
-            self.installation.registry.record_announcement(
-                end, self.installation.now_ms, to_peers=True
-            )
+        self.installation.withdraw("b", 200)
         self.installation.report_steadily(5000, NEW)
         self.assertNotIn("b", self.installation.ready()[0])
 
+    def test_end_of_a_server_that_was_claimed_counts(self):
+        """Guards against a withdrawn server in use again as it was contested."""
+        for claimed in ((OLD, NEW), (NEW,)):
+            for end in (100, None):
+                with self.subTest(claimed=claimed, end=end):
+                    self.setUp()
+                    self.installation.report_steadily(8000, *claimed)
+                    self.installation.withdraw("a", end)
+                    self.installation.report_steadily(8000, OLD)
+                    for ready in self.installation.ready():
+                        self.assertNotIn("a", ready)
+
     def test_address_of_a_server_that_moved_is_used_by_another_one(self):
         """Guards against a sound server that counts as replaced where it was before."""
         moved = ("a", "127.0.0.1:7", 150)
