--- a/brasstrail/coordination/directory.py
+++ b/brasstrail/coordination/directory.py
@@ -209,12 +209,12 @@
         held = self.known.get(identity)
         if held is not None and held.announcement.address != address:
             self.release_address(held.announcement)
-        previous = self.by_address.get(address)
-        is_ready = announcement.phase is servers.ServerPhase.READY
-        if previous is None or (is_ready and not announcement.is_contested):
-            if previous not in (None, identity):
+        if not announcement.is_contested:
+            previous = self.by_address.setdefault(address, identity)
+            is_ready = announcement.phase is servers.ServerPhase.READY
+            if is_ready and previous != identity:
                 self.mark_replaced(previous)
-            self.by_address[address] = identity
+                self.by_address[address] = identity
         self.known[identity] = KnownServer(announcement, seen_ms)
 
     def release_address(self, announcement):
--- a/brasstrail/roles/registry_test.py
+++ b/brasstrail/roles/registry_test.py
@@ -1,6 +1,7 @@
 """Tests of what a registry and a gateway believe of servers that are claimed."""
 
 import contextlib
+import dataclasses
 import types
 import unittest
 import unittest.mock
@@ -173,6 +174,17 @@
         self.installation.wait(directory.RETENTION_MS)
         self.assert_ready()
 
+    def test_both_stand_at_a_gateway_that_subscribes_later(self):
+        """Guards against a list whose order decides which of them is used."""
+        self.installation.report_steadily(8000, OLD, NEW)
+        with self.installation.at_its_time():
+            listed = self.installation.registry.snapshot()
+        for records in (listed.records, listed.records[::-1]):
+            self.installation.gateway = directory.Directory(0)
+            update = dataclasses.replace(listed, records=records)
+            self.installation.update_gateway(update)
+            self.assert_ready(a=100, b=200)
+
     def test_end_of_a_server_that_waits_counts(self):
         self.installation.report(*NEW)
         self.installation.withdraw("b", 200)
