Log the replica set, what a host without a leader lacks, and why one begins blank

The logs of a control host told neither its voters nor why no leader was found, and a replica that gave up its disk did not say on whose word.

New lines: each change of the replica set, the lack of a leader with the voters that are missing, what was found on the disk at a start, who reported which acknowledged index, and each change of a gateway's readiness with its reason. New gauges: control_learners, control_voters_missing, control_leaderless_ms, gateway_ready.

No decision is changed.

--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -66,6 +66,19 @@
     probes: tuple
 
 
+@dataclasses.dataclass(frozen=True)
+class Regression:
+    """A report that this replica's disk lost entries that it had acknowledged.
+
+    `reporter` is the replica that knows the acknowledged index, `last_index` what the
+    log held when the report arrived.
+    """
+
+    reporter: str
+    acknowledged: int
+    last_index: int
+
+
 class Replica:
     """The replica of one control host.
 
@@ -80,7 +93,7 @@
     Attributes
     ----------
     raft : the replicated log, or None while the replica is blank.
-    must_discard : whether this identity must be given up.
+    regression : the `Regression` for which this identity must be given up, or None.
     known_hosts : the names of further control hosts to probe.
     wanted_voters : the target number of voters; 0 means as many as founders.
     latest_replicas : the replica that each host reported in its latest probe.
@@ -97,7 +110,7 @@
         self.next_probe_ms = now_ms
         self.probes = []
         self.identity_changed = False
-        self.must_discard = False
+        self.regression = None
         self.probe_replies = {}
         self.latest_replicas = {}
         self.raft = None
@@ -108,6 +121,11 @@
             self.raft.may_vote = False
             self.finish_check(now_ms)
 
+    @property
+    def must_discard(self):
+        """Whether this identity must be given up."""
+        return self.regression is not None
+
     @property
     def descriptor(self):
         """The record that identifies this replica in the log and in probes."""
@@ -221,7 +239,11 @@
         if self.phase is Phase.BLANK:
             self.try_joining(reply, now_ms)
         elif reply.acknowledged > self.raft.log.last_index:
-            self.must_discard = True
+            self.regression = Regression(
+                raft.replica_id(reply.replica),
+                reply.acknowledged,
+                self.raft.log.last_index,
+            )
 
     # Bootstrap, joining and the recovery check.
 
--- a/brasstrail/roles/control.py
+++ b/brasstrail/roles/control.py
@@ -119,7 +119,13 @@
         metrics.gauge("control_index", lambda: self.machine.index)
         metrics.gauge("control_members", lambda: len(self.view.members))
         metrics.gauge("control_keys", lambda: len(self.machine.ledger.records))
-        metrics.gauge("control_voters", lambda: len(self.replication.voters()))
+        replica_set = self.replication
+        metrics.gauge("control_voters", lambda: len(replica_set.voters()))
+        metrics.gauge("control_learners", lambda: len(replica_set.learners()))
+        metrics.gauge(
+            "control_voters_missing", lambda: len(replica_set.missing_voters())
+        )
+        metrics.gauge("control_leaderless_ms", replica_set.leaderless_ms)
 
     def start(self):
         """Start the replica and the periodic work."""
--- a/brasstrail/roles/gateway.py
+++ b/brasstrail/roles/gateway.py
@@ -149,6 +149,7 @@
         those that still count: control hosts that have just started list few, and a
         gateway that starts again is listed later than it sends its first message.
     shutdown : `shutdown.Shutdown`, the planned stop.
+    logged_unready_reason : the reason of the last logged readiness, or None.
     """
 
     def __init__(self, hub, process_metrics):
@@ -188,6 +189,7 @@
         self.places = set()
         self.running = {}
         self.held_bytes = 0
+        self.logged_unready_reason = None
         self.shutdown = shutdown.Shutdown(self)
         self.lease = lease.Lease(self.settings.lease_ms)
         self.unlisted_ms = {}
@@ -243,8 +245,34 @@
     @property
     def is_ready(self):
         """Whether the readiness endpoint reports this gateway as ready."""
-        is_serving = not self.shutdown.is_begun and self.catalog is not None
-        return is_serving and self.lease.is_fresh
+        return not self.unready_reason
+
+    @property
+    def unready_reason(self):
+        """Why this gateway is not ready; empty if it is."""
+        if self.shutdown.is_begun:
+            return "stopping"
+        if self.catalog is None:
+            return "no_document"
+        if self.lease.renewed_ms is None:
+            return "no_lease"
+        return "" if self.lease.is_fresh else "old_lease"
+
+    def log_readiness(self):
+        """Log a change of the reason why this gateway is not ready."""
+        reason = self.unready_reason
+        if reason == self.logged_unready_reason:
+            return
+        self.logged_unready_reason = reason
+        active_link = self.subscription.active_link
+        self.log.info(
+            "gateway: The readiness changed.",
+            ready=not reason,
+            reason=reason,
+            lease_age_ms=self.lease_age_gauge_ms(),
+            document_version=self.document_version,
+            control_host=active_link.name if active_link is not None else "",
+        )
 
     @property
     def is_catalog_trusted(self):
@@ -690,6 +718,7 @@
         run = self.hub.run_callback
         run(self.dispatch_waiting)
         run(self.refuse_unserved)
+        run(self.log_readiness)
         run(self.gossip.tick)
         run(self.crashes.tick, now_ms)
         run(self.origins.tick, now_ms)
@@ -727,6 +756,7 @@
         gauge("gateway_running", lambda: len(self.running))
         gauge("gateway_waiting", lambda: len(self.pool.waiting))
         gauge("gateway_document_version", lambda: self.document_version)
+        gauge("gateway_ready", lambda: int(self.is_ready))
         gauge("gateway_lease_age_ms", self.lease_age_gauge_ms)
         gauge("gateway_rollouts", lambda: len(self.canary.exposures))
         gauge("gateway_connections_opened", lambda: self.connections.opened_count)
--- a/brasstrail/roles/gateway_test.py
+++ b/brasstrail/roles/gateway_test.py
@@ -653,11 +653,14 @@
 
     async def test_ready_only_with_document_and_fresh_lease(self):
         self.assertEqual(await self.fetch_readiness_status(), 200)
+        self.assertEqual(self.gateway.unready_reason, "")
         self.gateway.lease.renewed_ms = clock.boot_ms() - 4000
         self.assertEqual(await self.fetch_readiness_status(), 503)
+        self.assertEqual(self.gateway.unready_reason, "old_lease")
         self.renew_lease()
         self.gateway.shutdown.since_ms = clock.now_ms()
         self.assertEqual(await self.fetch_readiness_status(), 503)
+        self.assertEqual(self.gateway.unready_reason, "stopping")
 
     async def test_request_that_waited_for_the_lease_is_charged_when_admitted(self):
         """Guards against a bucket that is refilled again for the time of each wait."""
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import dataclasses
 import random
 import secrets
 import threading
@@ -11,6 +12,7 @@
 from brasstrail.coordination import raft, replica
 from brasstrail.core import clock, errors
 from brasstrail.protocol import messages, snapshots
+from brasstrail.roles import quorum
 from brasstrail.state import journal, machine
 
 TICK_MS = 50
@@ -67,6 +69,7 @@
         self.replica = None
         self.was_leader = False
         self.dialed_config_index = -1
+        self.quorum_watch = quorum.QuorumWatch(hub.log)
         self.ticker = ioloop.PeriodicCallback(self.tick, TICK_MS)
 
     # Start and stop.
@@ -120,11 +123,18 @@
         )
         self.replica.wanted_voters = self.settings.wanted_voters
         self.machine.restore(loaded.snapshot.state if loaded.snapshot else b"")
+        self.log_start(loaded)
+
+    def log_start(self, loaded):
+        """Log what the replica found on its disk."""
         self.log.info(
             "log: The replica is starting.",
             replica=raft.replica_id(self.replica.descriptor),
             phase=str(self.replica.phase),
             records=len(loaded.entries),
+            snapshot_index=loaded.snapshot.index if loaded.snapshot else 0,
+            last_index=loaded.entries[-1].index if loaded.entries else 0,
+            term=loaded.hard_state.term,
         )
 
     def voters(self):
@@ -132,6 +142,22 @@
         node = self.replica.raft if self.replica is not None else None
         return node.log.voters if node is not None else ()
 
+    def learners(self):
+        """Return the learners of the latest configuration in this host's log."""
+        node = self.replica.raft if self.replica is not None else None
+        return node.log.learners if node is not None else ()
+
+    def missing_voters(self):
+        """Return the identities of the voters that this host has not heard lately."""
+        node = self.replica.raft if self.replica is not None else None
+        if node is None:
+            return []
+        return self.quorum_watch.missing_voters(node, clock.now_ms())
+
+    def leaderless_ms(self):
+        """Return for how long this host has known no leader, in milliseconds."""
+        return self.quorum_watch.leaderless_ms(clock.now_ms())
+
     def founders(self):
         """Return the names of the hosts that form a new cluster.
 
@@ -168,6 +194,7 @@
         """Write the identity of a new, blank replica."""
         identity = snapshots.Identity(self.hub.name, secrets.token_hex(4))
         self.journal.write_identity(identity)
+        self.log.info("log: The disk is blank; a new replica begins on it.")
         return identity
 
     def close(self):
@@ -200,7 +227,9 @@
         """Handle a message of the replicated log."""
         self.record_peer(link)
         if self.failed is None:
-            self.replica.receive(link.name, message, clock.now_ms())
+            now_ms = clock.now_ms()
+            self.quorum_watch.record(message, now_ms)
+            self.replica.receive(link.name, message, now_ms)
             self.work_available.set()
 
     def send(self, host, message):
@@ -218,7 +247,9 @@
     def tick(self):
         """Pass the current time to the replica."""
         if self.failed is None:
-            self.replica.tick(clock.now_ms())
+            now_ms = clock.now_ms()
+            self.replica.tick(now_ms)
+            self.quorum_watch.check(self.replica, now_ms)
             self.dial_members()
             self.work_available.set()
 
@@ -346,7 +377,8 @@
         """
         self.log.error(
             "log: The disk holds less than this replica acknowledged; "
-            "it restarts as a new replica."
+            "it restarts as a new replica.",
+            **dataclasses.asdict(self.replica.regression),
         )
         self.journal.move_aside(clock.wall_ms())
         self.load()
