Sync what a started replica has read before it acknowledges it

Callers see: a change that was acknowledged is gone after a loss of power, or a host comes back blank although only another one lost its disk, so that no quorum is left.

Cause: the process ends between a write and its sync. The next one reads the entries from the page cache, reports them to the leader as held, and appends behind them in a new segment; the old segment is never synced again. Then entries are missing, and where others follow them in a later segment the gap makes the folder be refused as damaged and moved aside.

Change: each segment is synced when it is read, before anything is reported.

A restart takes one sync more for each segment, one to three of them.

--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -240,14 +240,15 @@
     def load_segment(self, number, path, entries):
         """Read a segment into `entries`, and truncate a torn write at its end.
 
-        Returns the size of the torn write in bytes.
+        The segment is synced, since the process may have ended before the last write
+        was, and the replica acknowledges all that it has read. Returns the size of the
+        torn write in bytes.
         """
         content = path.read_bytes()
         payloads, torn_bytes = read_segment_payloads(path, content)
-        if torn_bytes:
-            with files.translate_os_errors(path), open(path, "r+b") as file:
-                file.truncate(len(content) - torn_bytes)
-                self.disk.sync(file)
+        with files.translate_os_errors(path), open(path, "r+b") as file:
+            file.truncate(len(content) - torn_bytes)
+            self.disk.sync(file)
         self.segment_last_index[number] = 0
         for payload in payloads:
             record = codec.decode(codec.JOURNAL, payload)
