--- a/brasstrail/protocol/snapshots.py
+++ b/brasstrail/protocol/snapshots.py
@@ -83,5 +83,16 @@
     state: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class LogStart:
+    """The start of a replica's log after a snapshot that it received.
+
+    `index` and `term` are those of the snapshot.
+    """
+
+    index: int
+    term: int
+
+
 SNAPSHOT_RECORDS = (MachineState, Identity, SnapshotFile)
-JOURNAL_RECORDS = (HardState, messages.Entry)
+JOURNAL_RECORDS = (HardState, messages.Entry, LogStart)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -592,6 +592,11 @@
   learners @4 :List(Replica);
 }
 
+struct LogStart {
+  index @0 :Int64;
+  term @1 :Int64;
+}
+
 struct Work {
   requestId @0 :Text;
   service @1 :Text;
@@ -929,5 +934,6 @@
   union {
     hardState @0 :HardState;
     entry @1 :Entry;
+    logStart @2 :LogStart;
   }
 }
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -2,9 +2,11 @@
 
 A data folder contains segments of records, `segment-N.log`, one snapshot file for
 each of the last two snapshots, `snapshot-N.bin`, and the replica's identity.
-Each frame of a segment and each other file has a checksum. A record is a log entry
-or the election state. An entry replaces earlier entries with the same or a higher
-index, so truncating the log needs no marker.
+Each frame of a segment and each other file has a checksum. A record is a log entry,
+the election state or the start of the log after a snapshot of the leader. An entry
+replaces earlier entries with the same or a higher index, so truncating the log needs no
+marker. The start of the log replaces all earlier entries: those that a snapshot has
+replaced must not be read again, also if the removal of their segments comes undone.
 
 The records that are written between two syncs form one frame with one checksum.
 After a power failure each part of an unsynced write may be kept, lost or torn
@@ -230,6 +232,9 @@
         if joined is None:
             raise corrupt_file_error(self.folder, 0)
         self.open_segment(paths[-1][0] + 1 if paths else 1)
+        if is_replaced(entries, snapshot):
+            self.write_batch([snapshots.LogStart(snapshot.index, snapshot.term)])
+            self.disk.sync(self.segment)
         return LoadedState(self.hard_state, snapshot, joined, torn_bytes)
 
     def load_snapshot(self):
@@ -258,11 +263,15 @@
     def replay_record(self, number, record, entries):
         """Apply a record read from a segment to `hard_state` or `entries`.
 
-        An entry removes the entries that follow its index without a gap.
+        An entry removes the entries that follow its index without a gap, the start of
+        the log all entries.
         """
         if isinstance(record, snapshots.HardState):
             self.hard_state = record
             return
+        if isinstance(record, snapshots.LogStart):
+            entries.clear()
+            return
         index = record.index + 1
         while entries.pop(index, None) is not None:
             index += 1
@@ -314,24 +323,39 @@
     def persist(self, ready):
         """Write the persistent part of a `raft.Ready` and sync it once.
 
+        A snapshot replaces the whole log: the entries that follow it are part of the
+        same `raft.Ready` and are written again, to a new segment. The earlier segments
+        are deleted after that, since they may hold the same entries.
+
         Raises `errors.DiskFailed`. After that, `open_segment` must start a new
         segment before the next write.
         """
         if ready.snapshot is not None:
-            self.install_snapshot(ready.snapshot)
-        records = list(ready.entries)
-        if ready.hard_state is not None:
-            self.hard_state = ready.hard_state
-            records.insert(0, ready.hard_state)
+            self.write_snapshot(ready.snapshot)
+            self.open_segment(self.segment_number + 1)
+        records = self.make_records(ready)
         if not records:
             return
         self.write_batch(records)
         self.disk.sync(self.segment)
         if ready.entries:
             self.update_last_index(self.segment_number, ready.entries[-1].index)
+        if ready.snapshot is not None:
+            self.delete_segments(None)
         if self.segment_bytes >= SEGMENT_ROLL_BYTES:
             self.open_segment(self.segment_number + 1)
 
+    def make_records(self, ready):
+        """Return the records of a `raft.Ready`, and keep its election state."""
+        records = []
+        if ready.hard_state is not None:
+            self.hard_state = ready.hard_state
+            records.append(ready.hard_state)
+        if ready.snapshot is not None:
+            start = snapshots.LogStart(ready.snapshot.index, ready.snapshot.term)
+            records.append(start)
+        return [*records, *ready.entries]
+
     def write_snapshot(self, snapshot):
         """Store a snapshot and delete all but the last `RETAINED_SNAPSHOTS`."""
         path = self.folder / f"snapshot-{snapshot.index:012d}.bin"
@@ -339,16 +363,6 @@
         for _, old in self.snapshot_paths()[:-RETAINED_SNAPSHOTS]:
             self.disk.remove(old)
 
-    def install_snapshot(self, snapshot):
-        """Store a snapshot that replaces the whole log.
-
-        The entries that follow it are part of the same `raft.Ready`, and `persist`
-        writes them again.
-        """
-        self.write_snapshot(snapshot)
-        self.open_segment(self.segment_number + 1)
-        self.delete_segments(None)
-
     def save_snapshot(self, snapshot):
         """Store a snapshot, then delete the segments that it covers."""
         self.write_snapshot(snapshot)
@@ -372,17 +386,25 @@
     return sorted(found)
 
 
+def is_replaced(entries, snapshot):
+    """Return whether a snapshot is that of a log other than these entries.
+
+    Their entry at the snapshot's index has a different term then.
+    """
+    if snapshot is None or snapshot.index not in entries:
+        return False
+    return entries[snapshot.index].term != snapshot.term
+
+
 def collect_contiguous_entries(entries, snapshot):
     """Return the contiguous entries that follow a snapshot.
 
-    Returns None if an entry is missing between others. If the entry at the
-    snapshot's index has a different term, the snapshot replaced the entries after
-    it, and none are returned.
+    Returns None if an entry is missing between others, and no entries if the snapshot
+    has replaced them.
     """
-    index = snapshot.index if snapshot else 0
-    stale = entries.get(index)
-    if stale is not None and stale.term != snapshot.term:
+    if is_replaced(entries, snapshot):
         return ()
+    index = snapshot.index if snapshot else 0
     joined = []
     while index + 1 in entries:
         index += 1
