Remove old segments in an order that a loss of power cannot turn round

Callers see: an acknowledged change is gone after a loss of power, on a host that had compacted its log just before.

Cause: the removal of several segments was not synced, so that any of them may come back alone.

Change: each removal is synced before the next one. What comes back is then a later segment than all that are gone.

--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -369,13 +369,18 @@
         self.delete_segments(snapshot.index)
 
     def delete_segments(self, index):
-        """Delete closed segments with no entry after `index`, or all if it is None."""
+        """Delete closed segments with no entry after `index`, or all if it is None.
+
+        Each removal is made durable before the next one: a segment that comes back
+        must not lack later ones, which may have replaced some of its entries.
+        """
         for number, path in self.segment_paths():
             if number >= self.segment_number:
                 break
             if index is not None and self.segment_last_index[number] > index:
                 break
             self.disk.remove(path)
+            self.disk.sync_folder(self.folder)
 
 
 def list_numbered_files(folder, pattern):
