Move a replica's identity aside before its records

Callers see: an acknowledged change is gone after a host gave up its disk while everything lost power.

Cause: a folder that is moved aside was moved file by file in any order, with one sync at the end. After a loss of power in between, the identity could be left without its records. The others' memory of what that replica had acknowledged is gone in such a loss, so it passes the check at its start and votes with an empty log.

Change: the identity is moved first, and each move is synced. Records without an identity are moved aside at the next start, before a new replica begins.

Evidence: powerloss_test.test_identity_never_stays_without_its_records, red once the moves go through the simulated disk in the old order (entry 10 of term 2 lost), and replication_test.LeftRecordsTest, red without the second part; both pass.

--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -172,12 +172,15 @@
     def read_folder(self):
         """Return the identity and the contents of the data folder.
 
-        A damaged folder is moved aside and the replica starts blank. A single
-        replica has no other copy, so there the error is raised.
+        A damaged folder is moved aside and the replica starts blank, and so are records
+        whose identity was moved aside before the process ended. A single replica has
+        no other copy, so there the error of a damaged folder is raised.
         """
         try:
             identity = self.journal.read_identity()
             if identity is None:
+                if self.journal.record_paths():
+                    self.journal.move_aside(clock.wall_ms())
                 identity = self.make_identity()
             return identity, self.journal.load()
         except errors.CorruptFile as error:
--- a/brasstrail/roles/replication_test.py
+++ b/brasstrail/roles/replication_test.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from brasstrail.coordination import replica
 from brasstrail.core import errors
 from brasstrail.protocol import codec, commands
 from brasstrail.roles import hub, replication
@@ -128,6 +129,24 @@
         self.assertIsNone(self.replication.failed)
 
 
+class LeftRecordsTest(SnapshotTest):
+    """Records whose identity was moved aside before the process ended."""
+
+    async def test_records_without_an_identity_are_not_read(self):
+        """Guards against a new replica that begins with the records of another one."""
+        await self.commit(7)
+        self.replication.close()
+        self.replication.journal.identity_path.unlink()
+        restarted = replication.Replication(self.hub, print, print)
+        self.addCleanup(restarted.close)
+        restarted.load()
+        self.assertIs(restarted.replica.phase, replica.Phase.BLANK)
+        self.assertEqual(restarted.machine.document.version, 0)
+        self.assertEqual(restarted.journal.load().entries, ())
+
+    test_failed_snapshot_write_is_retried_while_replica_continues = None
+
+
 class LogSizeTest(SnapshotTest):
     """The log of a replica with the default settings, and large documents."""
 
--- a/brasstrail/state/files.py
+++ b/brasstrail/state/files.py
@@ -54,6 +54,11 @@
         with translate_os_errors(path):
             pathlib.Path(path).unlink(missing_ok=True)
 
+    def rename(self, path, target):
+        """Rename a file; that may come undone until `sync_folder`."""
+        with translate_os_errors(path):
+            os.replace(path, target)
+
     def replace(self, path, content):
         """Create or replace a file atomically and durably."""
         path = pathlib.Path(path)
@@ -62,5 +67,5 @@
             with open(temporary_path, "wb") as file:
                 self.append(file, content)
                 self.sync(file)
-            os.replace(temporary_path, path)
+        self.rename(temporary_path, path)
         self.sync_folder(path.parent)
--- a/brasstrail/state/journal.py
+++ b/brasstrail/state/journal.py
@@ -25,7 +25,6 @@
 
 import contextlib
 import dataclasses
-import os
 import pathlib
 import struct
 import zlib
@@ -172,17 +171,25 @@
 
     # Identity.
 
+    @property
+    def identity_path(self):
+        """The path of the replica's identity."""
+        return self.folder / "identity.bin"
+
+    def record_paths(self):
+        """Return the paths of all files but the identity."""
+        return [path for path in self.folder.glob("*.*") if path != self.identity_path]
+
     def read_identity(self):
         """Return the replica's identity, or None if the data folder has none."""
-        path = self.folder / "identity.bin"
-        if not path.exists():
+        if not self.identity_path.exists():
             return None
-        return self.read_file(path)
+        return self.read_file(self.identity_path)
 
     def write_identity(self, identity):
         """Store the replica's identity."""
         self.make_folder()
-        self.write_file(self.folder / "identity.bin", identity)
+        self.write_file(self.identity_path, identity)
 
     def make_folder(self):
         """Create the data folder if it does not exist."""
@@ -205,15 +212,17 @@
     def move_aside(self, stamp):
         """Move all files to a subfolder, which leaves the journal empty.
 
-        `stamp` makes the name of the subfolder unique.
+        The identity goes first: without its records it must not be read again. `stamp`
+        makes the name of the subfolder unique.
         """
         self.close()
         target = self.folder / f"aside-{stamp}"
         with files.translate_os_errors(self.folder):
             target.mkdir()
-            for path in self.folder.glob("*.*"):
-                os.replace(path, target / path.name)
-        self.disk.sync_folder(self.folder)
+        for path in (self.identity_path, *self.record_paths()):
+            if path.exists():
+                self.disk.rename(path, target / path.name)
+                self.disk.sync_folder(self.folder)
         self.hard_state = snapshots.HardState(0, "")
         self.segment_last_index = {}
 
--- a/brasstrail/state/powerloss_test.py
+++ b/brasstrail/state/powerloss_test.py
@@ -4,6 +4,7 @@
 has read counts as acknowledged, since it reports that to the leader.
 """
 
+import itertools
 import pathlib
 import random
 import tempfile
@@ -213,6 +214,34 @@
         """Guards against a start that reports entries which were never synced."""
         self.check_all_steps(ends_first=True)
 
+    def test_identity_never_stays_without_its_records(self):
+        """Guards against a replica that votes although its records were moved aside.
+
+        The others would have to know what it had acknowledged, and may have restarted.
+        """
+        identity = snapshots.Identity("c1", "d1", "cluster")
+        for step in itertools.count(1):
+            for seed in range(DRAWS):
+                with tempfile.TemporaryDirectory() as temporary_folder:
+                    folder = pathlib.Path(temporary_folder) / "data"
+                    folder.mkdir()
+                    disk = disks.PowerLossDisk(folder, random.Random(seed))
+                    recorder = Recorder(folder, disk)
+                    recorder.journal.write_identity(identity)
+                    append_and_compact(recorder)
+                    disk.last_step = disk.steps + step
+                    is_ended = False
+                    try:
+                        recorder.journal.move_aside("1")
+                    except disks.PowerLost:
+                        is_ended = True
+                    disk.lose_power()
+                    with journal.Journal(folder, disk) as reopened:
+                        if reopened.read_identity() is not None:
+                            recorder.check(reopened.load())
+            if not is_ended:
+                break
+
 
 if __name__ == "__main__":
     unittest.main()
