Replace a lost voter by a joint change

Callers see: after a loss of all power, with the disk again lost that was just being replaced, nothing is served any more and the configuration cannot be read.

Cause: the new replica of a host became a voter first, and the earlier, dead one went in a second step. Between the two, three of four voters are needed. The dead one and the new one, if its disk is lost, leave two. docs/design/STATE.md held that both orders need the two healthy replicas; that is so only while the new one lives.

Change: a learner takes the place of its host's earlier replica, or of a silent voter, in a joint change as published with Raft: until its end, decisions take a majority of the voters before it and one of those after it. No state needs the lost replica, nor the new one. The check at a start takes a majority of both as well.

--- a/brasstrail/coordination/log.py
+++ b/brasstrail/coordination/log.py
@@ -2,7 +2,8 @@
 
 The log holds the entries that follow a snapshot. It also determines the current
 voters and learners: those of its latest configuration entry or, if it holds
-none, those of the snapshot.
+none, those of the snapshot. During a joint change, the outgoing voters are those
+before it.
 """
 
 
@@ -27,6 +28,7 @@
         self.snapshot_term = snapshot.term if snapshot else 0
         self.snapshot_voters = snapshot.voters if snapshot else tuple(voters)
         self.snapshot_learners = snapshot.learners if snapshot else ()
+        self.snapshot_outgoing = snapshot.outgoing if snapshot else ()
         self.snapshot_state = snapshot.state if snapshot else b""
         self.entries = list(entries)
         self.command_bytes = count_bytes(self.entries)
@@ -65,6 +67,12 @@
         entry = self.config_entry
         return entry.learners if entry else self.snapshot_learners
 
+    @property
+    def outgoing(self):
+        """The voters before a joint change; empty if none is in progress."""
+        entry = self.config_entry
+        return entry.outgoing if entry else self.snapshot_outgoing
+
     def term_at(self, index):
         """Return the term at an index, or None if the log holds no such entry."""
         if index == self.snapshot_index:
@@ -106,17 +114,17 @@
         ]
 
     def config_at(self, index):
-        """Return the voters and the learners as of the entry at `index`."""
+        """Return voters, learners and outgoing voters as of the entry at `index`."""
         for entry in reversed(self.config_entries):
             if entry.index <= index:
-                return entry.voters, entry.learners
-        return self.snapshot_voters, self.snapshot_learners
+                return entry.voters, entry.learners, entry.outgoing
+        return self.snapshot_voters, self.snapshot_learners, self.snapshot_outgoing
 
     def compact(self, index, state):
         """Replace the entries up to `index` by a snapshot whose state is `state`."""
         if index <= self.snapshot_index:
             return
-        voters, learners = self.config_at(index)
+        voters, learners, outgoing = self.config_at(index)
         term = self.term_at(index)
         count = index - self.snapshot_index
         self.command_bytes -= count_bytes(self.entries[:count])
@@ -128,6 +136,7 @@
         self.snapshot_term = term
         self.snapshot_voters = voters
         self.snapshot_learners = learners
+        self.snapshot_outgoing = outgoing
         self.snapshot_state = state
 
     def restore(self, message):
@@ -145,6 +154,7 @@
         self.snapshot_term = message.index_term
         self.snapshot_voters = message.voters
         self.snapshot_learners = message.learners
+        self.snapshot_outgoing = message.outgoing
         self.snapshot_state = message.state
 
 
--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -8,9 +8,9 @@
 The algorithm is Raft as published by Ongaro and Ousterhout, with these
 extensions: a pre-vote before each election, a leader that steps down when it
 loses contact with its quorum, reads confirmed by a heartbeat round, learners
-(replicas without a vote), and membership changes of one voter at a time. A
-replica is identified by its host and its disk, so a host that lost its disk
-rejoins as a different replica.
+(replicas without a vote), membership changes of one voter at a time, and joint
+changes that replace a voter by another one. A replica is identified by its host and
+its disk, so a host that lost its disk rejoins as a different replica.
 """
 
 import dataclasses
@@ -157,9 +157,19 @@
 
     # Membership.
 
+    def voter_sets(self):
+        """Return the sets of identities of which a quorum has a majority each.
+
+        There are two during a joint change: the voters after and before it.
+        """
+        sets = [self.log.voters, self.log.outgoing]
+        return [
+            {replica_id(replica) for replica in voters} for voters in sets if voters
+        ]
+
     def voters(self):
-        """Return the identities of all voters."""
-        return {replica_id(replica) for replica in self.log.voters}
+        """Return the identities of all voters, also of the outgoing ones."""
+        return set().union(*self.voter_sets())
 
     def members(self):
         """Return the identities of all voters and learners."""
@@ -168,8 +178,30 @@
 
     def is_quorum(self, identities):
         """Return whether the identities include a majority of the voters."""
-        voters = self.voters()
-        return len(voters & set(identities)) * 2 > len(voters)
+        identities = set(identities)
+        sets = self.voter_sets()
+        return bool(sets) and all(
+            len(voters & identities) * 2 > len(voters) for voters in sets
+        )
+
+    def quorum_value(self, own_value, attribute):
+        """Return the highest value that a quorum has reached, or 0.
+
+        Parameters
+        ----------
+        own_value : the value of this replica.
+        attribute : the name of the value in the `Progress` of the others.
+        """
+        reached = []
+        for voters in self.voter_sets():
+            values = sorted(
+                own_value
+                if identity == self.identity
+                else getattr(self.progress_of(identity), attribute)
+                for identity in voters
+            )
+            reached.append(values[(len(values) - 1) // 2])
+        return min(reached, default=0)
 
     @property
     def is_leader(self):
@@ -436,6 +468,7 @@
                 message.voters,
                 message.learners,
                 message.state,
+                message.outgoing,
             )
         self.reply_append(message, True, message.index)
 
@@ -513,6 +546,7 @@
             self.log.snapshot_learners,
             self.log.snapshot_state,
             self.round_id,
+            self.log.snapshot_outgoing,
         )
         progress.next_index = self.log.snapshot_index + 1
         self.outbox.append(Envelope(identity, message))
@@ -530,14 +564,7 @@
 
         The stamp follows once an entry of this term is committed.
         """
-        voters = self.voters()
-        rounds = sorted(
-            self.round_id
-            if identity == self.identity
-            else self.progress_of(identity).round_id
-            for identity in voters
-        )
-        confirmed = rounds[(len(rounds) - 1) // 2] if rounds else 0
+        confirmed = self.quorum_value(self.round_id, "round_id")
         self.confirmed_round = max(self.confirmed_round, confirmed)
         if self.log.term_at(self.commit) == self.term:
             stamp = self.term * STAMP_TERM_FACTOR + self.confirmed_round
@@ -548,14 +575,7 @@
 
         Only an entry of the current term is committed this way, as Raft requires.
         """
-        voters = self.voters()
-        held = sorted(
-            self.durable_index
-            if identity == self.identity
-            else self.progress_of(identity).match
-            for identity in voters
-        )
-        index = held[(len(held) - 1) // 2] if held else 0
+        index = self.quorum_value(self.durable_index, "match")
         if index > self.commit and self.log.term_at(index) == self.term:
             self.commit = index
             self.update_confirmed_round()
@@ -567,12 +587,11 @@
         if is_config_committed and self.identity not in self.voters():
             self.become_follower(self.term, "", self.now_ms)
 
-    def append(self, command, voters=(), learners=()):
+    def append(self, command, voters=(), learners=(), outgoing=()):
         """Append an entry to the leader's log and return its index."""
         index = self.log.last_index + 1
-        self.log.append(
-            messages.Entry(index, self.term, command, tuple(voters), tuple(learners))
-        )
+        sets = tuple(voters), tuple(learners), tuple(outgoing)
+        self.log.append(messages.Entry(index, self.term, command, *sets))
         return index
 
     def propose(self, command):
@@ -594,14 +613,44 @@
         """
         old = self.voters()
         new = {replica_id(replica) for replica in voters}
-        if not self.is_leader or len(old ^ new) > 1 or not new:
-            return None
-        if self.log.config_index > self.commit:
+        if len(old ^ new) > 1 or not new or self.log.outgoing:
             return None
-        if self.log.term_at(self.commit) != self.term:
+        if not self.may_change_replicas():
             return None
         return self.append(b"", voters, learners)
 
+    def change_replicas_jointly(self, voters, learners):
+        """Propose a joint change to any new set of voters; return the index, or None.
+
+        Until `finish_joint_change`, decisions take a majority of the voters before the
+        change and one of those after it. A voter is thus replaced without a state in
+        which the one that is lost and the new one count side by side. None is returned
+        under the conditions of `change_replicas`, whatever the number of voters.
+        """
+        if not voters or self.log.outgoing or not self.may_change_replicas():
+            return None
+        return self.append(b"", voters, learners, self.log.voters)
+
+    def finish_joint_change(self):
+        """Propose that only the new voters decide; return the index, or None.
+
+        None means that no joint change is in progress, or that it is not committed.
+        """
+        if not self.log.outgoing or not self.may_change_replicas():
+            return None
+        return self.append(b"", self.log.voters, self.log.learners)
+
+    def may_change_replicas(self):
+        """Return whether this leader may propose the next change of the replicas.
+
+        The change before it and an entry of the current term must be committed.
+        """
+        return (
+            self.is_leader
+            and self.log.config_index <= self.commit
+            and self.log.term_at(self.commit) == self.term
+        )
+
     def flush_appends(self):
         """Send new entries to each replica that was not sent all of them yet."""
         for identity in sorted(self.members() - {self.identity}):
--- a/brasstrail/coordination/raft_test.py
+++ b/brasstrail/coordination/raft_test.py
@@ -196,11 +196,11 @@
     def snapshot(self, host, node):
         """Save a snapshot of the applied commands and compact the host's log."""
         index = node.delivered_index
-        voters, learners = node.log.config_at(index)
+        voters, learners, outgoing = node.log.config_at(index)
         term = node.log.term_at(index)
         state = b",".join(host.applied)
         host.disk.snapshot = snapshots.SnapshotFile(
-            index, term, voters, learners, state
+            index, term, voters, learners, state, outgoing
         )
         node.compact(index, state)
 
@@ -692,6 +692,25 @@
         swapped = make_replicas("a", "b", "z")
         self.assertIsNone(node.change_replicas(swapped, ()))
 
+    def test_joint_change_needs_a_majority_of_both_sets(self):
+        """Guards against a decision by the new voters alone, or by the earlier ones."""
+        node = make_leader()
+        node.mark_persisted(node.take_ready())
+        node.receive(messages.AppendReply("b/d", node.term, True, 1, 1), 10_000)
+        index = node.change_replicas_jointly(make_replicas("a", "y", "z"), ())
+        node.mark_persisted(node.take_ready())
+        self.assertFalse(node.is_quorum(("a/d", "b/d")))
+        self.assertFalse(node.is_quorum(("a/d", "y/d")))
+        self.assertTrue(node.is_quorum(("a/d", "b/d", "y/d")))
+        for name, commit in (("b", 1), ("y", index)):
+            self.assertIsNone(node.finish_joint_change())
+            reply = messages.AppendReply(f"{name}/d", node.term, True, index, 1)
+            node.receive(reply, 10_000)
+            self.assertEqual(node.commit, commit)
+        self.assertIsNone(node.change_replicas(make_replicas("a", "y"), ()))
+        self.assertIsNotNone(node.finish_joint_change())
+        self.assertEqual(node.voters(), {"a/d", "y/d", "z/d"})
+
     def test_learner_is_promoted_only_when_caught_up(self):
         node = make_leader()
         new_replica = messages.Replica("c", "new")
--- a/brasstrail/coordination/recovery_test.py
+++ b/brasstrail/coordination/recovery_test.py
@@ -10,6 +10,7 @@
 import unittest
 
 from brasstrail.coordination import raft_test
+from brasstrail.protocol import messages
 
 # Within this time after a host is back, the users count it as recovered.
 CATCH_UP_MS = 4000
@@ -99,6 +100,7 @@
         host = self.hosts[name]
         if host.replica is None:
             host.start(int(self.now_ms))
+            host.replica.known_hosts = tuple(self.hosts)
         host.replica.tick(int(self.now_ms))
         self.carry_out_work(host)
 
@@ -154,10 +156,9 @@
     def replace_host(self, name, new_name):
         """Remove a host for good, and add a blank one at another address."""
         del self.hosts[name], self.wake_ms[name]
-        host = raft_test.Host(new_name, (), new_name)
-        self.hosts[new_name] = host
-        host.start(int(self.now_ms))
-        host.replica.known_hosts = tuple(self.hosts)
+        self.hosts[new_name] = raft_test.Host(new_name, (), new_name)
+        if name == self.far_host:
+            self.far_host = new_name
         self.wake_ms[new_name] = self.now_ms
         self.disk_free_ms[new_name] = 0
 
@@ -248,6 +249,53 @@
         self.assertEqual(self.failures, [])
 
 
+class SeriesTest(unittest.TestCase):
+    """Series of lost disks, replaced hosts and losses of everything that overlap."""
+
+    SEEDS = 30
+    REPAIRS = 6
+    LOSSES = 4
+
+    def run_series(self, seed):
+        """Run one series; no second host loses its disk before a repair is complete."""
+        draw = random.Random(seed)
+        cluster = start_cluster(draw.choice((3, 3, 5)), seed, draw.choice((5, 30, 60)))
+        for repair in range(self.REPAIRS):
+            name = draw.choice(list(cluster.hosts))
+            if draw.random() < 0.3:
+                cluster.replace_host(name, f"n{repair}")
+                name = f"n{repair}"
+            else:
+                cluster.lose_disk(name)
+            for _ in range(draw.randrange(self.LOSSES)):
+                for leader in cluster.leaders()[:1]:
+                    cluster.propose(leader)
+                cluster.run_for(draw.uniform(0, 1500))
+                cluster.lose_power([name] if draw.random() < 0.7 else [])
+                cluster.run_for(draw.uniform(0, 2500))
+            self.check_repaired(cluster)
+
+    def check_repaired(self, cluster):
+        """Check the state at the end of the time that users grant for a recovery."""
+        self.assertIsNotNone(cluster.time_to_leader_ms(RECOVERY_MS), "no leader")
+        cluster.run_for(CATCH_UP_MS)
+        self.assertTrue(cluster.has_working_leader())
+        self.assertEqual(cluster.missing_commands(), [])
+        log = cluster.leaders()[0].replica.raft.log
+        disks = {
+            messages.Replica(host.name, host.disk.identity.disk)
+            for host in cluster.hosts.values()
+        }
+        self.assertLessEqual(set(log.voters), disks, "a lost replica is a voter")
+        self.assertEqual(log.outgoing, ())
+
+    def test_series_of_repairs_and_losses_of_everything(self):
+        """Guards against losses in an order that leaves no quorum."""
+        for seed in range(self.SEEDS):
+            with self.subTest(seed=seed):
+                self.run_series(seed)
+
+
 class ElectionTest(unittest.TestCase):
     """Two voters of three are left, in different regions, with equal logs."""
 
--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -8,7 +8,8 @@
   cluster alone.
 - A host with a blank disk joins an existing cluster as a new replica: first as
   a learner and, once it holds the log durably, as a voter in place of its
-  host's earlier replica.
+  host's earlier replica, or of one that is silent. They change places in one joint
+  change: side by side, the lost one would count among those that a quorum needs.
 - A restarted replica does not vote until the others have reported the highest
   index that it acknowledged. If its disk holds less, the replica gives up its
   identity (`must_discard`) and rejoins as a new replica.
@@ -20,6 +21,7 @@
 
 from brasstrail.coordination import log as replog
 from brasstrail.coordination import raft
+from brasstrail.core import data
 from brasstrail.protocol import messages, snapshots
 
 PROBE_INTERVAL_MS = 200
@@ -285,13 +287,18 @@
         All other voters' hosts must have replied. After `CHECK_TIMEOUT_MS`, a
         majority of the voters' hosts, including this one, is enough.
         """
-        voters = {raft.host_of(identity) for identity in self.raft.voters()}
-        others = voters - {self.identity.name}
-        answered = others & set(self.probe_replies)
-        is_waiting = now_ms - self.started_ms < CHECK_TIMEOUT_MS
-        if answered != others and (
-            is_waiting or (len(answered) + 1) * 2 <= len(voters)
-        ):
+        host_sets = [
+            {raft.host_of(identity) for identity in voters}
+            for voters in self.raft.voter_sets()
+        ]
+        known = {self.identity.name, *self.probe_replies}
+        if now_ms - self.started_ms < CHECK_TIMEOUT_MS:
+            is_complete = all(hosts <= known for hosts in host_sets)
+        else:
+            is_complete = all(
+                len(hosts & known) * 2 > len(hosts) for hosts in host_sets
+            )
+        if not is_complete:
             return
         self.phase = Phase.MEMBER
         self.raft.may_vote = True
@@ -301,10 +308,18 @@
 
     def propose_replica_change(self):
         """Propose the next change of voters or learners, if one is needed."""
+        if self.raft.log.outgoing:
+            self.raft.finish_joint_change()
+            return
         target_voters = self.wanted_voters or len(self.identity.founders)
         change = next_replica_change(self.raft, self.latest_replicas, target_voters)
-        if change is not None:
-            self.raft.change_replicas(*change)
+        if change is None:
+            return
+        voters, learners = change
+        if len(set(voters) ^ set(self.raft.log.voters)) > 1:
+            self.raft.change_replicas_jointly(voters, learners)
+        else:
+            self.raft.change_replicas(voters, learners)
 
     # Work for the owner.
 
@@ -336,9 +351,9 @@
     target_voters : the target number of voters.
 
     A new replica becomes a learner. A learner that holds all committed entries
-    becomes a voter if its host already has a voter, if there are too few voters,
-    or if a voter is silent. Of two voters on one host, the earlier one is then
-    removed. A silent voter is removed while there are more voters than targeted.
+    becomes a voter in place of its host's earlier replica, or in place of a silent
+    voter, or in addition if there are too few voters. A silent voter is removed while
+    there are more voters than targeted, and so is the earlier of two on one host.
     """
     voters, learners = node.log.voters, node.log.learners
     for voter in voters:
@@ -353,10 +368,14 @@
     if silent and len(voters) > target_voters:
         return without(voters, silent[0]), learners
     for learner in learners:
-        host_has_voter = any(voter.name == learner.name for voter in voters)
-        is_needed = host_has_voter or len(voters) < target_voters or silent
-        if is_needed and is_caught_up(node, learner):
-            return (*voters, learner), without(learners, learner)
+        if not is_caught_up(node, learner):
+            continue
+        replaced = data.find_by_name(voters, learner.name)
+        if replaced is None and len(voters) >= target_voters:
+            replaced = silent[0] if silent else None
+            if replaced is None:
+                continue
+        return (*without(voters, replaced), learner), without(learners, learner)
     for new_replica in latest_replicas.values():
         if new_replica in voters or new_replica in learners:
             continue
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -397,7 +397,9 @@
 class Entry:
     """An entry of the replicated log; unrelated to the entry role.
 
-    An entry with `voters` changes the set of replicas and has no command.
+    An entry with `voters` changes the set of replicas and has no command. With
+    `outgoing`, the voters before the change, it takes a majority of both sets to
+    decide, until an entry without them follows.
     """
 
     index: int
@@ -405,6 +407,7 @@
     command: bytes
     voters: tuple[Replica, ...] = ()
     learners: tuple[Replica, ...] = ()
+    outgoing: tuple[Replica, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -472,6 +475,7 @@
     learners: tuple[Replica, ...]
     state: bytes
     round_id: int
+    outgoing: tuple[Replica, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/snapshots.py
+++ b/brasstrail/protocol/snapshots.py
@@ -81,6 +81,7 @@
     voters: tuple[messages.Replica, ...]
     learners: tuple[messages.Replica, ...]
     state: bytes
+    outgoing: tuple[messages.Replica, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -238,6 +238,7 @@
   learners @5 :List(Replica);
   state @6 :Data;
   roundId @7 :Int64;
+  outgoing @8 :List(Replica);
 }
 
 struct ReplicaProbe {
@@ -577,6 +578,7 @@
   voters @2 :List(Replica);
   learners @3 :List(Replica);
   state @4 :Data;
+  outgoing @5 :List(Replica);
 }
 
 struct HardState {
@@ -590,6 +592,7 @@
   command @2 :Data;
   voters @3 :List(Replica);
   learners @4 :List(Replica);
+  outgoing @5 :List(Replica);
 }
 
 struct LogStart {
--- a/brasstrail/roles/quorum.py
+++ b/brasstrail/roles/quorum.py
@@ -86,8 +86,9 @@
             "log: The replicas changed.",
             index=node.log.config_index,
             commit=node.commit,
-            voters=sorted(node.voters()),
-            learners=sorted(node.members() - node.voters()),
+            voters=sorted(map(raft.replica_id, node.log.voters)),
+            learners=sorted(map(raft.replica_id, node.log.learners)),
+            outgoing=sorted(map(raft.replica_id, node.log.outgoing)),
         )
 
     def log_missing_leader(self, replica, now_ms):
--- a/brasstrail/roles/replication.py
+++ b/brasstrail/roles/replication.py
@@ -354,10 +354,10 @@
         """
         node = self.replica.raft
         index = self.machine.index
-        voters, learners = node.log.config_at(index)
+        voters, learners, outgoing = node.log.config_at(index)
         state = self.machine.dump()
         snapshot = snapshots.SnapshotFile(
-            index, node.log.term_at(index), voters, learners, state
+            index, node.log.term_at(index), voters, learners, state, outgoing
         )
         try:
             await self.hub.loop.run_in_executor(
