Let one of two candidates give way, so that two distant voters elect a leader

Callers see: after a loss of all power with one disk, all requests are refused for seconds, and the configuration cannot be read; then service returns by itself.

Cause: two of three voters are left and both have to agree. With equal logs both start a pre-vote, each grants the other's, both become candidates of the same term and vote for themselves. It takes four messages and two syncs to elect a leader; the time-outs of a start (100 to 300 ms) are shorter than that between regions, and the others (600 to 1,100 ms) differ too little. Besides, a candidate whose timer ran out started a pre-vote and then dropped the votes that arrived.

Change: a replica that grants a pre-vote gives way: it restarts its timer with the longer time-out. Of two that are both in a pre-vote, the one with the lower rank (log, then identity) gives way and the other one denies. A candidate waits the longer time-out for its votes.

--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -6,7 +6,8 @@
 daemon performs this work with a disk and sockets; the fuzz tests simulate both.
 
 The algorithm is Raft as published by Ongaro and Ousterhout, with these
-extensions: a pre-vote before each election, a leader that steps down when it
+extensions: a pre-vote before each election, in which one of two candidates gives
+way, so that they do not defeat each other; a leader that steps down when it
 loses contact with its quorum, reads confirmed by a heartbeat round, learners
 (replicas without a vote), membership changes of one voter at a time, and joint
 changes that replace a voter by another one. A replica is identified by its host and
@@ -24,9 +25,8 @@
 # a leader. A leader without a quorum for the longest one steps down.
 ELECTION_TIMEOUT_MIN_MS = 600
 ELECTION_TIMEOUT_MAX_MS = 1100
-# During its first STARTUP_PERIOD_MS, a replica without contact to a leader uses
-# shorter election timeouts, because all replicas may have started at the same time.
-# The timeouts are longer than a round trip between regions including its disk syncs.
+# During its first STARTUP_PERIOD_MS, a replica without contact to a leader or candidate
+# starts a pre-vote sooner, because all replicas may have started at the same time.
 STARTUP_PERIOD_MS = 2500
 STARTUP_TIMEOUT_MIN_MS = 100
 STARTUP_TIMEOUT_MAX_MS = 300
@@ -123,6 +123,7 @@
         confirmed round, so it rises only while a quorum answers the leader.
     acknowledged_indexes : the highest index that each replica has acknowledged,
         by identity, as received from leaders.
+    has_contact : whether a leader, or a candidate that may win, has been heard of.
     may_vote : false until it is certain that the disk holds all entries that
         this replica has acknowledged.
     """
@@ -138,6 +139,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.last_leader_contact_ms = None
+        self.has_contact = False
         self.commit = log.snapshot_index
         self.delivered_index = log.snapshot_index
         self.votes = set()
@@ -214,7 +216,8 @@
         """Restart the election timer with a random timeout."""
         shortest_ms, longest_ms = ELECTION_TIMEOUT_MIN_MS, ELECTION_TIMEOUT_MAX_MS
         if (
-            self.last_leader_contact_ms is None
+            not self.has_contact
+            and self.role is not Role.CANDIDATE
             and now_ms - self.started_ms < STARTUP_PERIOD_MS
         ):
             shortest_ms, longest_ms = STARTUP_TIMEOUT_MIN_MS, STARTUP_TIMEOUT_MAX_MS
@@ -271,8 +274,8 @@
 
     def start_election(self, now_ms):
         """Become a candidate for the next term."""
-        self.reset_election_timer(now_ms)
         self.role = Role.CANDIDATE
+        self.reset_election_timer(now_ms)
         self.term += 1
         self.vote = self.identity
         self.leader = ""
@@ -346,7 +349,8 @@
 
         The request is ignored while a leader is in contact. The vote is denied
         if the request's term is old, if this replica has voted for another one in
-        that term or may not vote, or if the sender's log is not up to date.
+        that term or may not vote, or if the sender's log is not up to date. Of two
+        replicas in a pre-vote, the one that the other outranks gives way.
         """
         if self.has_leader_contact(now_ms):
             return
@@ -357,17 +361,33 @@
             self.log.last_index,
         )
         if request.trial:
-            granted = request.term > self.term
+            granted = request.term > self.term and not self.keeps_candidacy(request)
         else:
             granted = request.term == self.term and self.vote in ("", request.sender)
         granted = granted and up_to_date and self.may_vote
-        if granted and not request.trial:
-            self.vote = request.sender
-            self.reset_election_timer(now_ms)
+        if granted:
+            self.give_way(request, now_ms)
         term = request.term if granted else self.term
         reply = messages.VoteReply(self.identity, term, granted, request.trial)
         self.outbox.append(Envelope(request.sender, reply))
 
+    def keeps_candidacy(self, request):
+        """Return whether this replica is a candidate that outranks the sender."""
+        own_rank = (self.log.last_term, self.log.last_index, self.identity)
+        rank = (request.last_term, request.last_index, request.sender)
+        is_candidate = self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE)
+        return is_candidate and own_rank > rank
+
+    def give_way(self, request, now_ms):
+        """Leave the sender of a vote request the time for its election."""
+        if request.trial:
+            self.role = Role.FOLLOWER
+        else:
+            self.vote = request.sender
+        self.votes = set()
+        self.has_contact = True
+        self.reset_election_timer(now_ms)
+
     def receive_vote_reply(self, reply, now_ms):
         """Count a vote for the current pre-vote or election."""
         if reply.term > self.term and not reply.granted:
@@ -386,6 +406,7 @@
             return False
         self.become_follower(message.term, message.sender, now_ms)
         self.last_leader_contact_ms = now_ms
+        self.has_contact = True
         return True
 
     def receive_append(self, message, now_ms):
