Take replaced entries for no loss of a disk

Callers see: a second host comes back blank beside the one that lost its disk, and no quorum is left, although its disk held all that was committed.

Cause: replicas remember up to which index each other one has acknowledged, without the term. After a leader that failed, its successor replaces entries that were never committed, maybe by fewer ones. The replica's log then ends before the index that it once acknowledged, which was taken for a disk that lost entries, and it gave up its identity. Besides, each new leader overwrote what followers knew by the zeros with which it begins.

Change: what is acknowledged is kept and reported with its term. A log that ends with a later term has lost nothing. What a leader does not know yet overwrites nothing.

Evidence: recovery_test.IdentityTest: red before (the replica came back as disk2), passes; raft_test's cases of a disk that really is older pass. It takes five voters, or a joint change, to get there: with three, what one follower has acknowledged is committed.

--- a/brasstrail/coordination/raft.py
+++ b/brasstrail/coordination/raft.py
@@ -73,6 +73,17 @@
     last_sent_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class Position:
+    """An index of the log and the term of the entry there.
+
+    Where that entry is committed, the term may be a later one.
+    """
+
+    index: int = 0
+    term: int = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Envelope:
     """A message and the identity of the replica to send it to."""
@@ -121,8 +132,8 @@
     confirmed_round : the latest heartbeat round that a quorum has answered.
     stamp : the highest stamp seen. A leader's stamp consists of its term and its
         confirmed round, so it rises only while a quorum answers the leader.
-    acknowledged_indexes : the highest index that each replica has acknowledged,
-        by identity, as received from leaders.
+    acknowledged : the `Position` of the highest index that each replica has
+        acknowledged, by identity, as received from leaders.
     has_contact : whether a leader, or a candidate that may win, has been heard of.
     may_vote : false until it is certain that the disk holds all entries that
         this replica has acknowledged.
@@ -149,7 +160,7 @@
         self.next_heartbeat_ms = now_ms
         self.stamp = 0
         self.may_vote = True
-        self.acknowledged_indexes = {}
+        self.acknowledged = {}
         self.outbox = []
         self.durable_index = log.last_index
         self.pending_snapshot = None
@@ -413,7 +424,7 @@
         """Store the leader's entries if the log holds the entry before them."""
         if not self.accept_leader(message, now_ms):
             return
-        self.acknowledged_indexes.update(decode_matches(message.matches))
+        self.record_acknowledged(message)
         self.stamp = max(self.stamp, message.stamp)
         if not self.log.matches(message.previous_index, message.previous_term):
             hint = min(self.log.last_index, message.previous_index - 1)
@@ -426,6 +437,13 @@
         self.commit = max(self.commit, min(message.commit, match))
         self.reply_append(message, True, match)
 
+    def record_acknowledged(self, message):
+        """Keep what the leader knows to be acknowledged, unless more is known."""
+        for identity, position in decode_matches(message).items():
+            known = self.acknowledged.get(identity, Position())
+            if position.index >= known.index:
+                self.acknowledged[identity] = position
+
     def accept_entry(self, entry):
         """Append one of the leader's entries, replacing conflicting ones.
 
@@ -526,7 +544,7 @@
             self.commit,
             self.round_id,
             self.stamp,
-            self.encode_matches(),
+            *self.encode_matches(),
         )
         progress.next_index += len(entries)
         self.outbox.append(Envelope(identity, message))
@@ -573,12 +591,21 @@
         self.outbox.append(Envelope(identity, message))
 
     def encode_matches(self):
-        """Return "identity=index" for each replica's acknowledged index.
+        """Return "identity=index" for each acknowledged index, and their terms.
 
         Every append carries these, so that other replicas keep them as well.
         """
         pairs = sorted(self.progress.items())
-        return tuple(f"{identity}={item.match}" for identity, item in pairs)
+        matches = tuple(f"{identity}={item.match}" for identity, item in pairs)
+        return matches, tuple(self.position_at(item.match).term for _, item in pairs)
+
+    def position_at(self, index):
+        """Return the `Position` of an index that another replica has acknowledged.
+
+        A committed entry is never replaced, so that it counts with the current term.
+        """
+        term = self.term if index <= self.commit else self.log.term_at(index)
+        return Position(index, term or self.term)
 
     def update_confirmed_round(self):
         """Update the latest heartbeat round that a quorum has answered.
@@ -728,13 +755,17 @@
         self.log.compact(index, state)
 
 
-def decode_matches(pairs):
-    """Return the acknowledged index of each replica, by identity."""
-    matches = {}
-    for pair in pairs:
+def decode_matches(message):
+    """Return the `Position` that each replica has acknowledged, by identity.
+
+    A leader of an earlier build does not tell their terms.
+    """
+    terms = message.match_terms or (message.term,) * len(message.matches)
+    positions = {}
+    for pair, term in zip(message.matches, terms, strict=True):
         identity, _, index = pair.rpartition("=")
-        matches[identity] = int(index)
-    return matches
+        positions[identity] = Position(int(index), term)
+    return positions
 
 
 HANDLERS = {
--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -205,29 +205,32 @@
         self.probes.append((host, self.make_probe_reply(acknowledged)))
 
     def make_probe_reply(self, acknowledged):
-        """Return a probe reply that reports `acknowledged` to its receiver."""
+        """Return a probe reply that reports a `raft.Position` to its receiver."""
         return messages.ProbeReply(
             self.descriptor,
             self.identity.cluster_id,
             self.phase is Phase.BLANK,
-            acknowledged,
+            acknowledged.index,
             self.identity.founders,
+            acknowledged.term,
         )
 
     def acknowledged(self, identity):
-        """Return the highest index that a replica is known to have acknowledged."""
+        """Return the `raft.Position` that a replica is known to have acknowledged."""
         if self.raft is None:
-            return 0
-        seen = self.raft.acknowledged_indexes.get(identity, 0)
+            return raft.Position()
+        seen = self.raft.acknowledged.get(identity, raft.Position())
         progress = self.raft.progress.get(identity)
-        return max(seen, progress.match if progress else 0)
+        if progress is None or progress.match < seen.index:
+            return seen
+        return self.raft.position_at(progress.match)
 
     def notify_regressed_replica(self, message):
         """Send the acknowledged index to a replica whose log ends before it."""
         if not isinstance(message, messages.AppendReply) or message.success:
             return
         acknowledged = self.acknowledged(message.sender)
-        if self.raft.is_leader and message.match < acknowledged:
+        if self.raft.is_leader and message.match < acknowledged.index:
             host = raft.host_of(message.sender)
             self.probes.append((host, self.make_probe_reply(acknowledged)))
 
@@ -235,18 +238,29 @@
         """Join the sender's cluster if blank; else check the reported index.
 
         If this log ends before the reported index, the disk has lost entries
-        that the replica acknowledged, and the identity must be given up.
+        that the replica acknowledged, and the identity must be given up. A log that
+        ends with a later term has lost nothing: a later leader has replaced entries
+        that were never committed.
         """
         self.probe_replies[reply.replica.name] = reply
         if self.phase is Phase.BLANK:
             self.try_joining(reply, now_ms)
-        elif reply.acknowledged > self.raft.log.last_index:
+        elif self.lacks(raft.Position(reply.acknowledged, reply.acknowledged_term)):
             self.regression = Regression(
                 raft.replica_id(reply.replica),
                 reply.acknowledged,
                 self.raft.log.last_index,
             )
 
+    def lacks(self, acknowledged):
+        """Return whether the log has lost what this replica acknowledged.
+
+        An earlier build does not tell the term, which is 0 then.
+        """
+        log = self.raft.log
+        is_replaced = acknowledged.term and log.last_term > acknowledged.term
+        return acknowledged.index > log.last_index and not is_replaced
+
     # Bootstrap, joining and the recovery check.
 
     def try_bootstrap(self, now_ms):
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -438,7 +438,7 @@
     `round_id` is the number of the leader's round of messages; reads are
     confirmed by rounds. `stamp` increases only while a quorum answers the leader.
     `matches` holds the index that each replica has acknowledged, as
-    "replica=index".
+    "replica=index", and `match_terms` the term of each of these.
     """
 
     sender: str
@@ -450,6 +450,7 @@
     round_id: int
     stamp: int
     matches: tuple[str, ...] = ()
+    match_terms: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -495,7 +496,8 @@
     """The reply to `ReplicaProbe`, with the identity of the replying host.
 
     `acknowledged` is the highest index that the probing host is known to have
-    acknowledged. `founders` are the first voters of the replying host's cluster.
+    acknowledged, and `acknowledged_term` its term. `founders` are the first voters of
+    the replying host's cluster.
     """
 
     replica: Replica
@@ -503,6 +505,7 @@
     blank: bool
     acknowledged: int
     founders: tuple[Replica, ...] = ()
+    acknowledged_term: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -219,6 +219,7 @@
   roundId @6 :Int64;
   stamp @7 :Int64;
   matches @8 :List(Text);
+  matchTerms @9 :List(Int64);
 }
 
 struct AppendReply {
@@ -253,6 +254,7 @@
   blank @2 :Bool;
   acknowledged @3 :Int64;
   founders @4 :List(Replica);
+  acknowledgedTerm @5 :Int64;
 }
 
 struct Follow {
