Ignore reports about an earlier replica of the same host

Callers see: a host that lost its disk takes longer to be a voter again, as its new replica gives up its disk once or more.

Cause: a reply to a probe told what a replica had acknowledged, but not which one. A host that gives up its disk joins again in the same process; a reply about its earlier replica that arrives after that was taken for one about the new one, whose log is shorter.

Change: replies name the replica that they are about.

Evidence: recovery_test.IdentityTest.test_late_report_about_an_earlier_disk_is_ignored, red before, passes.

--- a/brasstrail/coordination/recovery_test.py
+++ b/brasstrail/coordination/recovery_test.py
@@ -367,6 +367,25 @@
         self.assertEqual(self.holder.disk.identity, identity)
         self.cluster.check_all_present()
 
+    def test_late_report_about_an_earlier_disk_is_ignored(self):
+        """Guards against a new replica that gives up its disk for an earlier one.
+
+        Reports about the earlier one may arrive after the host has joined again.
+        """
+        probe = messages.ReplicaProbe(
+            self.holder.replica.descriptor, self.holder.disk.identity.cluster_id, False
+        )
+        self.observer.replica.receive(self.holder.name, probe, self.cluster.now_ms)
+        (_, report), *_ = self.observer.replica.take_work().probes
+        self.holder.lose_disk()
+        self.holder.start(self.cluster.now_ms)
+        while self.holder.replica.raft is None:
+            self.cluster.run_rounds(1)
+        self.holder.replica.raft.log.truncate(1)
+        now_ms = self.cluster.now_ms
+        self.holder.replica.receive(self.observer.name, report, now_ms)
+        self.assertFalse(self.holder.replica.must_discard)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/brasstrail/coordination/replica.py
+++ b/brasstrail/coordination/replica.py
@@ -201,11 +201,12 @@
         if foreign and self.identity.cluster_id:
             return
         self.latest_replicas[probe.replica.name] = probe.replica
-        acknowledged = self.acknowledged(raft.replica_id(probe.replica))
-        self.probes.append((host, self.make_probe_reply(acknowledged)))
+        reply = self.make_probe_reply(raft.replica_id(probe.replica))
+        self.probes.append((host, reply))
 
-    def make_probe_reply(self, acknowledged):
-        """Return a probe reply that reports a `raft.Position` to its receiver."""
+    def make_probe_reply(self, identity):
+        """Return a probe reply that reports what a replica has acknowledged."""
+        acknowledged = self.acknowledged(identity)
         return messages.ProbeReply(
             self.descriptor,
             self.identity.cluster_id,
@@ -213,6 +214,7 @@
             acknowledged.index,
             self.identity.founders,
             acknowledged.term,
+            identity,
         )
 
     def acknowledged(self, identity):
@@ -231,8 +233,8 @@
             return
         acknowledged = self.acknowledged(message.sender)
         if self.raft.is_leader and message.match < acknowledged.index:
-            host = raft.host_of(message.sender)
-            self.probes.append((host, self.make_probe_reply(acknowledged)))
+            reply = self.make_probe_reply(message.sender)
+            self.probes.append((raft.host_of(message.sender), reply))
 
     def receive_probe_reply(self, reply, now_ms):
         """Join the sender's cluster if blank; else check the reported index.
@@ -245,21 +247,25 @@
         self.probe_replies[reply.replica.name] = reply
         if self.phase is Phase.BLANK:
             self.try_joining(reply, now_ms)
-        elif self.lacks(raft.Position(reply.acknowledged, reply.acknowledged_term)):
+        elif self.has_lost(reply):
             self.regression = Regression(
                 raft.replica_id(reply.replica),
                 reply.acknowledged,
                 self.raft.log.last_index,
             )
 
-    def lacks(self, acknowledged):
+    def has_lost(self, reply):
         """Return whether the log has lost what this replica acknowledged.
 
-        An earlier build does not tell the term, which is 0 then.
+        The reply may be about an earlier replica of this host. An earlier build tells
+        neither the replica nor the term.
         """
+        if reply.subject not in ("", raft.replica_id(self.descriptor)):
+            return False
         log = self.raft.log
-        is_replaced = acknowledged.term and log.last_term > acknowledged.term
-        return acknowledged.index > log.last_index and not is_replaced
+        term = reply.acknowledged_term
+        is_replaced = term and log.last_term > term
+        return reply.acknowledged > log.last_index and not is_replaced
 
     # Bootstrap, joining and the recovery check.
 
--- a/brasstrail/protocol/messages.py
+++ b/brasstrail/protocol/messages.py
@@ -495,7 +495,7 @@
 class ProbeReply:
     """The reply to `ReplicaProbe`, with the identity of the replying host.
 
-    `acknowledged` is the highest index that the probing host is known to have
+    `acknowledged` is the highest index that the replica `subject` is known to have
     acknowledged, and `acknowledged_term` its term. `founders` are the first voters of
     the replying host's cluster.
     """
@@ -506,6 +506,7 @@
     acknowledged: int
     founders: tuple[Replica, ...] = ()
     acknowledged_term: int = 0
+    subject: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/brasstrail/protocol/wire.capnp
+++ b/brasstrail/protocol/wire.capnp
@@ -255,6 +255,7 @@
   acknowledged @3 :Int64;
   founders @4 :List(Replica);
   acknowledgedTerm @5 :Int64;
+  subject @6 :Text;
 }
 
 struct Follow {
