Let the soak lose a disk again beside its repair, and everything with it

No fault of the soak lost a disk while the replica of an earlier one was being replaced. The new one deletes a control host's disk, kills all control hosts with that disk up to 3 s later, and all processes with it once more.

--- a/brasstrail/tools/soak_test.py
+++ b/brasstrail/tools/soak_test.py
@@ -29,6 +29,9 @@
     routes=1500,
     has_narrow_link=True,
 )
+REPAIR_OPTIONS = soak.Options(
+    seed=4, seconds=1.0, gateways=3, fault_filters=("beside its repair",)
+)
 REST_OPTIONS = soak.Options(
     seed=5, seconds=8.0, gateways=4, fault_filters=("rest", "leaves")
 )
@@ -85,6 +88,13 @@
         self.assertEqual(violations, [])
         self.assertTrue(run.observations.returns)
 
+    def test_service_returns_after_losses_beside_a_repair(self):
+        """Guards against control hosts without a quorum after overlapping losses."""
+        daemon.configure_http()
+        run, violations = soak.run_seed(REPAIR_OPTIONS, None)
+        self.assertEqual(violations, [])
+        self.assertTrue(run.observations.returns)
+
     def test_rests_and_departures_of_servers_are_kept(self):
         """Guards against requests to servers that want none, or that leave."""
         daemon.configure_http()
--- a/brasstrail/tools/soakfaults.py
+++ b/brasstrail/tools/soakfaults.py
@@ -383,8 +383,11 @@
         await asyncio.wait(others)
 
 
-async def kill_all(soak):
-    """Kill all processes, with one disk gone, and let them return; wait for calm."""
+async def kill_all(soak, disk_host=None):
+    """Kill all processes, with one disk gone, and let them return; wait for calm.
+
+    The disk is that of the control host `disk_host`, or of any one.
+    """
     names = [*soak.process_names("daemon"), *soak.process_names("server")]
     soak.busy.update(names)
     index, begin_at = len(soak.observations.faults), time.time()
@@ -393,7 +396,9 @@
     ]
     for name in names:
         soak.running.kill(name)
-    soak.running.delete_data_folder(soak.random.choice(soak.process_names("control")))
+    if disk_host is None:
+        disk_host = soak.random.choice(soak.process_names("control"))
+    soak.running.delete_data_folder(disk_host)
     await asyncio.sleep(soak.random.uniform(*DOWN_S))
     await return_all(soak, names)
     back_at = time.time()
@@ -556,3 +561,48 @@
         await asyncio.sleep(0.1)
     await killing
     soak.is_reserved = False
+
+
+# How long the replica of a lost disk is under repair before the next loss, and how
+# long control hosts are gone then.
+REPAIR_S = (0.0, 3.0)
+RESTART_S = (0.1, 0.6)
+
+
+@cluster_fault("lose a disk, and everything beside its repair")
+async def lose_everything_beside_a_repair(soak, kind):
+    """Lose a disk, and again with all control hosts, and with all processes at last.
+
+    The later losses come before the host's new replica need be a voter.
+    """
+    if soak.is_reserved:
+        return
+    soak.is_reserved = True
+    await wait_for_others(soak)
+    soak.fault_counts[kind] += 1
+    controls = soak.process_names("control")
+    soak.busy.update(controls)
+    disk_host = soak.random.choice(controls)
+    change = asyncio.ensure_future(soak.load.send_next_document())
+    await asyncio.sleep(soak.random.uniform(0.005, 0.4))
+    for names in ([disk_host], controls):
+        await restart_controls(soak, names, disk_host)
+        await asyncio.sleep(soak.random.uniform(*REPAIR_S))
+    await kill_all(soak, disk_host)
+    await change
+    soak.is_reserved = False
+
+
+async def restart_controls(soak, names, disk_host):
+    """Kill control hosts together, delete a disk, and start them again."""
+    begin_at = time.time()
+    soak.observations.faults += [
+        soakcheck.Fault(name, begin_at, begin_at + soakcheck.CONTACT_LIMIT_S)
+        for name in names
+    ]
+    for name in names:
+        soak.running.kill(name)
+    soak.running.delete_data_folder(disk_host)
+    await asyncio.sleep(soak.random.uniform(*RESTART_S))
+    for name in soak.random.sample(names, len(names)):
+        soak.running.start(name)
