--- a/brasstrail/roles/quorum_test.py
+++ b/brasstrail/roles/quorum_test.py
@@ -1,5 +1,6 @@
 """Tests of what a control host logs about its quorum."""
 
+import logging
 import random
 import unittest
 
@@ -20,9 +21,13 @@
         stored = replica.StoredState(identity, snapshots.HardState(1, ""))
         self.replica = replica.Replica((), stored, random.Random(1), 0)
         self.lines = []
-        self.watch = quorum.QuorumWatch(
-            structlog.wrap_logger(None, processors=[self.keep_line])
+        # Other tests configure a level for all loggers that name no class of their own.
+        log = structlog.wrap_logger(
+            None,
+            processors=[self.keep_line],
+            wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
         )
+        self.watch = quorum.QuorumWatch(log)
         self.watch.leader_seen_ms = 0
 
     def keep_line(self, logger, method, fields):
