Log and count by size who of a tier is served, refused or cut

The line of a request's end had no length of its answer, neither expected nor seen, and no metric told sizes apart, so that hypotheses on the cause could not be told apart either. No decision changes.

- The end of a request names the expected and the seen output tokens.
- A refusal by an estimated wait logs what the estimate was made of: places, the demand of higher ranks, the request's own expected time at a server and the mean of its tier.
- Counters and a histogram by size: the expected time at a server against its mean.

Evidence: gateway_test, metrics_test, pages_test and the fast classes of waits_test pass (53 tests); the whole suite was not run on this commit.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -908,6 +908,11 @@
         forecast = waits.Forecast(self, now_ms + rest_ms)
         return rest_ms + forecast.arrival_wait_ms(work)
 
+    def explain_wait(self, work, now_ms):
+        """Return what decides `expected_wait_ms`, as fields of a log line."""
+        forecast = waits.Forecast(self, now_ms)
+        return forecast.explain(work) if forecast.is_known(work) else {}
+
     def record_start(self, work, now_ms):
         """Record a start, from which the start rate of a service is measured."""
         self.recent_starts.append((now_ms, work.service, work.rank))
--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -19,6 +19,7 @@
 400
 """
 
+import bisect
 import collections
 import dataclasses
 import itertools
@@ -51,6 +52,12 @@
 # by half.
 RATIO_DECAY = 0.97
 PRIOR_NOMINAL_MS = 3000.0
+# What is kept of the sums behind the mean need of a rank at each new work: some fifty
+# works, however many gateways share the requests.
+MEAN_NEED_DECAY = 0.98
+# Works that need this many times the mean of their rank are of the next size.
+SIZE_LIMITS = (1.0, 2.0)
+SIZE_NAMES = ("small", "large", "largest")
 # Rows in a gateway's state: the bound on what it adds to each datagram.
 MAX_ROWS = 32
 # A waiting request is refused when its estimate has been beyond its latest start for
@@ -206,12 +213,44 @@
         return self.need.times(1.0 / (DEMAND_TIME_CONSTANT_MS * seen))
 
 
+@dataclasses.dataclass
+class MeanNeed:
+    """The mean `Need` of the last works of a rank, without the newest one.
+
+    The newest one is judged by the mean. If it were part of it, it would be judged by
+    itself where one gateway gets few requests.
+
+    >>> mean = MeanNeed()
+    >>> for slot_ms in (1000.0, 1000.0, 9000.0):
+    ...     mean.record(Need(slot_ms))
+    >>> mean.value.slot_ms
+    1000.0
+    """
+
+    count: float = 0.0
+    total: Need = Need()
+    newest: Need | None = None
+
+    def record(self, need):
+        """Add a work."""
+        if self.newest is not None:
+            self.count = self.count * MEAN_NEED_DECAY + 1.0
+            self.total = self.total.times(MEAN_NEED_DECAY) + self.newest
+        self.newest = need
+
+    @property
+    def value(self):
+        """The mean, or the need of the only work so far."""
+        return self.total.times(1.0 / self.count) if self.count else self.newest
+
+
 class Estimates:
     """The demand by service and rank, and the waits that follow from it.
 
     Attributes
     ----------
     flows : the own `Flow` by (service, rank).
+    means : the `MeanNeed` by (service, rank).
     times : decayed sums of the measured and the nominal time at a server, by (service,
         rank) and by service.
     told : the rows of each other gateway by its name; a row's key is (service, rank).
@@ -223,6 +262,7 @@
 
     def __init__(self):
         self.flows = {}
+        self.means = {}
         self.times = {}
         self.told = {}
         self.totals = {}
@@ -258,9 +298,19 @@
         key = work.service, work.rank
         if key not in self.flows:
             self.flows[key] = Flow(now_ms, now_ms)
-        self.flows[key].record(self.need(work), now_ms)
+        need = self.need(work)
+        self.flows[key].record(need, now_ms)
+        self.means.setdefault(key, MeanNeed()).record(need)
         self.update_usual(key, now_ms, gateway_count)
 
+    def size_name(self, work):
+        """Return the name of a work's size, relative to the mean of its rank."""
+        mean = self.means.get((work.service, work.rank))
+        if mean is None:
+            return SIZE_NAMES[0]
+        ratio = self.need(work).slot_ms / mean.value.slot_ms
+        return SIZE_NAMES[bisect.bisect_right(SIZE_LIMITS, ratio)]
+
     def update_usual(self, key, now_ms, gateway_count):
         """Let the usual demand of a rank follow the present one."""
         demand = self.rank_demand(key, now_ms)
@@ -486,6 +536,25 @@
         late_ms = late_pace.wait_ms(ahead) * left_fraction
         return goal_left_ms + late_margin * late_ms
 
+    def explain(self, work):
+        """Return what decides how long a work waits, as fields of a log line."""
+        key = work.service, work.rank
+        standing = self.standing(*key, work.software)
+        above, told = self.told_ahead(work)
+        ahead = self.own_ahead(work) + above + told
+        need = self.estimates.need(work)
+        fields = {
+            "usable_places": standing.usable,
+            "running": standing.running,
+            "higher_running": standing.higher_running,
+            "higher_demand": self.higher_demand(*key).slot_ms,
+            "need_ms": need.slot_ms,
+            "mean_need_ms": self.estimates.mean_need(key, need).slot_ms,
+            "ahead_ms": ahead.slot_ms,
+            "goal_left_ms": self.goal_left_ms(work),
+        }
+        return {name: round(value) for name, value in fields.items()}
+
     def limited_wait_ms(self, work):
         """Return how long a work waits that arrives now, by the rate of starts.
 
--- a/brasstrail/roles/forwarding.py
+++ b/brasstrail/roles/forwarding.py
@@ -370,7 +370,14 @@
         may_refuse = not self.reply.head_sent and not self.may_have_run
         if may_refuse and gateway.pool.has_servers(work):
             self.predicted_wait_ms = gateway.pool.expected_wait_ms(work, now_ms)
+            gateway.metrics.record(
+                "gateway_predicted_wait",
+                self.predicted_wait_ms / 1000,
+                tier=self.admitted.rank[0],
+                size=gateway.pool.estimates.size_name(work),
+            )
             if now_ms + self.predicted_wait_ms > latest_ms:
+                self.log_late_estimate(work, latest_ms - now_ms)
                 rest_ms = gateway.pool.rest_wait_ms(work, now_ms)
                 reason = "servers_rest" if rest_ms else "overload"
                 raise self.refusal(reason, self.retry_after_s())
@@ -584,6 +591,17 @@
             **host,
         )
 
+    def log_late_estimate(self, work, left_ms):
+        """Log that a request is refused for its estimated wait, and what decides it."""
+        self.gateway.log.info(
+            "forwarding: A request would wait too long.",
+            id=self.identity,
+            tier=self.admitted.rank[0],
+            predicted_wait_ms=round(self.predicted_wait_ms),
+            left_ms=round(left_ms),
+            **self.gateway.pool.explain_wait(work, clock.now_ms()),
+        )
+
     def log_unused_choice(self, choice, error):
         """Log that a chosen server was not sent the request; it is chosen again."""
         self.gateway.log.info(
@@ -638,12 +656,18 @@
             first_ms=self.time_to_first_event_ms(),
             longest_pause_ms=self.reply.longest_pause_ms,
             events=self.reply.events,
+            output_tokens=self.output_tokens(),
             total_ms=total_ms,
             waiting=len(gateway.pool.waiting),
             version=gateway.document_version,
             lease_age_ms=gateway.lease.age_ms,
         )
         gateway.metrics.count("gateway_requests", outcome=outcome, tier=tier)
+        if self.admitted is not None:
+            size = gateway.pool.estimates.size_name(self.make_work())
+            gateway.metrics.count(
+                "gateway_sized_requests", outcome=outcome, tier=tier, size=size
+            )
         gateway.metrics.record("gateway_request", total_ms / 1000, tier=tier)
         first_ms = self.time_to_first_event_ms()
         if first_ms is not None and self.reply.events:
@@ -655,6 +679,12 @@
             return None
         return self.reply.first_ms - self.arrived_ms
 
+    def output_tokens(self):
+        """Return how many output tokens were passed on, as far as events tell."""
+        service = self.admitted.service if self.admitted else ""
+        engine = self.gateway.pool.engines.get(service)
+        return self.reply.events * engine.tokens_per_event if engine else 0
+
     def admission_fields(self):
         """Return the log fields of the admission."""
         if self.admitted is None:
@@ -667,4 +697,5 @@
             "workspace": self.admitted.workspace or "",
             "service": self.admitted.service,
             "input_tokens": prompt.input_tokens if prompt else 0,
+            "expected_output_tokens": prompt.expected_output_tokens if prompt else 0,
         }
--- a/brasstrail/roles/measures.py
+++ b/brasstrail/roles/measures.py
@@ -102,6 +102,14 @@
     counter("control_rollout_steps", "steps", "Steps decided at the leader.", "state"),
     # Gateways.
     counter("gateway_requests", "requests", "Requests that ended.", "outcome", "tier"),
+    counter(
+        "gateway_sized_requests",
+        "requests",
+        "Requests that ended, by the expected time at a server against its mean.",
+        "outcome",
+        "tier",
+        "size",
+    ),
     latency("gateway_request", "Arrival to the end of a request.", "tier"),
     latency("gateway_wait", "Arrival to the binding to a server.", "tier"),
     Measure(
@@ -111,6 +119,12 @@
         "Difference of the predicted and the actual wait for a server.",
         ("tier",),
     ),
+    latency(
+        "gateway_predicted_wait",
+        "The wait for a server that is predicted at an attempt.",
+        "tier",
+        "size",
+    ),
     latency("gateway_first_event", "Arrival to a stream's first event.", "tier"),
     counter("gateway_refusals", "requests", "Refusals by their reason.", "reason"),
     counter("gateway_sendings", "sendings", "Requests sent to servers."),
