Show that long requests are refused for their own length

The emulator did not tell sizes apart, and its callers waited for ever: they leave at their deadline now, and outcomes by size are counted and printed by the experiment tool.

--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -1,5 +1,7 @@
 """Tests of the estimated waits, and of early refusals by them, under several loads."""
 
+import dataclasses
+import math
 import random
 import unittest
 
@@ -87,6 +89,34 @@
         self.assertGreater(sum(long) / len(long), 500)
 
 
+class SizesTest(unittest.TestCase):
+    """Load: more than fits, at thirty gateways that get few requests of a rank each."""
+
+    GATEWAY_COUNT = 30
+    PHASES = (load.Phase(25_000, 1.2),)
+    LOAD_SEEDS = (1, 2, 3)
+
+    def test_refusals_do_not_depend_on_the_length_of_a_request(self):
+        """Guards against long requests that are refused for their own length.
+
+        The part that is refused may differ by two standard errors, that is by chance.
+        """
+        outcomes = [
+            experiment.simulate_large(
+                seed, self.PHASES, gateway_count=self.GATEWAY_COUNT
+            )
+            for seed in self.LOAD_SEEDS
+        ]
+        chats = [outcome.kinds[CHATS] for outcome in outcomes]
+        nothing = experiment.SizeOutcome(0, 0, 0, 0)
+        all_sizes = sum((each.all_sizes for each in chats), nothing)
+        largest = sum((each.sizes[experiment.LARGEST] for each in chats), nothing)
+        refused = all_sizes.refused / all_sizes.request_count
+        self.assertGreater(refused, 0.2)
+        error = math.sqrt(refused * (1 - refused) / largest.request_count)
+        self.assertLess(largest.refused / largest.request_count, refused + 2 * error)
+
+
 def make_reporting_pool():
     """Return a pool with one server, which has reported a host factor."""
     gateway_pool = pool_test.make_pool(pool_test.announce("a"))
@@ -170,6 +200,31 @@
         self.assertGreater(gateway_pool.expected_wait_ms(work, 10), 1.5 * idle_wait_ms)
 
 
+class OwnLengthTest(unittest.TestCase):
+    """What the length of a request adds to the wait that is estimated for it."""
+
+    def make_chat(self, identity, output_tokens):
+        """Return a request with an expected length whose goal is far away."""
+        work = pool_test.make_work(identity, CHAT_RANK, goal_ms=60_000)
+        return dataclasses.replace(work, output_tokens=output_tokens)
+
+    def wait_ms(self, output_tokens):
+        """Return the estimate for a request behind others of usual length."""
+        gateway_pool = make_reporting_pool()
+        for number in range(2 + pool.ENGINE_QUEUE_REQUESTS):
+            gateway_pool.add_running("a", self.make_chat(f"r{number}", 280))
+        for number in range(3):
+            pool_test.enqueue_work(gateway_pool, self.make_chat(str(number), 280))
+        work = self.make_chat("new", output_tokens)
+        gateway_pool.record_arrival(work)
+        return gateway_pool.expected_wait_ms(work, 10)
+
+    def test_request_waits_for_others_as_long_whatever_its_own_length(self):
+        """Guards against a wait that is estimated from the request's own length."""
+        self.assertGreater(self.wait_ms(280), 100)
+        self.assertAlmostEqual(self.wait_ms(2800), self.wait_ms(280), delta=1)
+
+
 class OtherGatewaysTest(unittest.TestCase):
     """What other gateways tell, or do not."""
 
--- a/brasstrail/emulator/experiment.py
+++ b/brasstrail/emulator/experiment.py
@@ -42,6 +42,16 @@
 MAX_RETRY_WAIT_FRACTION = 1 / 3
 # Round trip of callers that try again at once.
 CALLER_DELAY_MS = 10.0
+# The size of a request in prompt tokens: an output token counts as this many.
+PROMPT_TOKENS_PER_OUTPUT_TOKEN = 10
+# The ranges of size for which outcomes are told apart, as parts of a kind's requests.
+SIZE_RANGES = {
+    "smaller half": (0.0, 0.5),
+    "next fifth": (0.5, 0.7),
+    "fifth below the largest tenth": (0.7, 0.9),
+    "largest tenth": (0.9, 1.0),
+}
+LARGEST = "largest tenth"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,7 +99,8 @@
     `predicted_first_answer_ms` is the pool's prediction of the time from dispatch to
     the first event, `predicted_wait_ms` the one of the wait of the last attempt, which
     began at `attempted_ms`. `held_ms` is how long attempts were held that ended
-    refused, and `attempts` how many were made.
+    refused, and `attempts` how many were made. `server` is the engine that it was
+    dispatched to, and `is_cut` whether the caller left before the end of the answer.
     """
 
     arrival: load.Arrival
@@ -104,6 +115,16 @@
     attempted_ms: float = 0.0
     held_ms: float = 0.0
     attempts: int = 0
+    server: str = ""
+    is_cut: bool = False
+
+    @property
+    def size(self):
+        """The size of the request in prompt tokens."""
+        output_tokens = self.arrival.output_tokens
+        return (
+            self.arrival.prompt_tokens + PROMPT_TOKENS_PER_OUTPUT_TOKEN * output_tokens
+        )
 
     @property
     def utility(self):
@@ -117,6 +138,29 @@
         return kind.late_utility
 
 
+@dataclasses.dataclass(frozen=True)
+class SizeOutcome:
+    """Counts of the requests of a kind in a range of sizes.
+
+    `served` are those with a complete answer, `cut` those whose callers left after the
+    request was dispatched.
+    """
+
+    request_count: int
+    served: int
+    refused: int
+    cut: int
+
+    def __add__(self, other):
+        """Return the sum of two outcomes."""
+        return SizeOutcome(
+            self.request_count + other.request_count,
+            self.served + other.served,
+            self.refused + other.refused,
+            self.cut + other.cut,
+        )
+
+
 @dataclasses.dataclass(frozen=True)
 class KindOutcome:
     """Counts of the requests of a kind, and the fraction of their utility achieved.
@@ -124,7 +168,7 @@
     `mean_held_ms` is how long refused requests were held on average, and `held_long`
     how many of them were held for longer than `FREE_HOLD_FRACTION` of their goal.
     `wait_error_ms` is the mean difference of the predicted and the actual wait of those
-    that were dispatched.
+    that were dispatched. `sizes` has the `SizeOutcome` by name of `SIZE_RANGES`.
     """
 
     name: str
@@ -136,6 +180,12 @@
     mean_held_ms: float = 0.0
     held_long: int = 0
     wait_error_ms: float = 0.0
+    sizes: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def all_sizes(self):
+        """The `SizeOutcome` of all requests of the kind."""
+        return sum(self.sizes.values(), SizeOutcome(0, 0, 0, 0))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -182,6 +232,8 @@
         for arrival in load.make_arrivals(rng, kinds, phases, setup.gateway_count):
             self.results[arrival.identity] = RequestResult(arrival)
             self.schedule(arrival.at_ms, self.handle_arrival, arrival)
+            deadline_ms = arrival.at_ms + arrival.kind.deadline_ms
+            self.schedule(deadline_ms, self.handle_deadline, arrival.identity)
         self.end_ms = sum(phase.duration_ms for phase in phases) + 15_000
         self.schedule(TICK_INTERVAL_MS, self.tick)
         if setup.has_slow_moments:
@@ -320,6 +372,17 @@
             gateway.remove_waiting(ticket)
             self.refuse(arrival)
 
+    def handle_deadline(self, identity):
+        """Let the caller leave whose request still runs."""
+        result = self.results[identity]
+        if result.is_complete or result.is_refused or result.dispatched_ms is None:
+            return
+        result.is_cut = True
+        gateway = self.gateways[result.arrival.gateway]
+        gateway.remove_running(result.server, self.make_work(result.arrival))
+        self.engines[result.server].cancel(identity)
+        self.schedule_load_share_send(result.arrival.gateway)
+
     def dispatch_requests(self, number):
         """Dispatch the waiting requests that the gateway's pool admits now."""
         gateway = self.gateways[number]
@@ -329,6 +392,7 @@
             arrival = self.arrivals_by_ticket.pop((number, ticket))
             result = self.results[arrival.identity]
             result.dispatched_ms = self.now_ms
+            result.server = choice.identity
             result.predicted_first_answer_ms = choice.expected_first_answer_ms
             delay_ms = self.network_delay_ms(number, choice.identity)
             delay_ms += self.record_dispatch(number, arrival, choice)
@@ -407,6 +471,8 @@
 
     def deliver_to_engine(self, arrival, choice):
         """Add a request to its engine and start the engine if it is idle."""
+        if self.results[arrival.identity].is_cut:
+            return
         emulated_engine = self.engines[choice.identity]
         emulated_engine.add_request(
             arrival.identity, arrival.prompt_tokens, arrival.output_tokens
@@ -451,6 +517,8 @@
     def handle_event(self, identity, token, report):
         """Record an answer's event at the gateway and update its pool."""
         result = self.results[token.identity]
+        if result.is_cut:
+            return
         arrival = result.arrival
         gateway = self.gateways[arrival.gateway]
         work = self.make_work(arrival)
@@ -518,6 +586,7 @@
             sum(held) / max(1, len(held)),
             sum(each > FREE_HOLD_FRACTION * kind.goal_ms for each in held),
             sum(errors_ms) / max(1, len(errors_ms)),
+            size_outcomes(results),
         )
 
     def worst_windows_fraction(self):
@@ -534,6 +603,21 @@
         return sum(fractions[:2]) / len(fractions[:2])
 
 
+def size_outcomes(results):
+    """Return the `SizeOutcome` of some `RequestResult`s by name of `SIZE_RANGES`."""
+    by_size = sorted(results, key=lambda result: result.size)
+    outcomes = {}
+    for name, (begin, end) in SIZE_RANGES.items():
+        chosen = by_size[round(begin * len(by_size)) : round(end * len(by_size))]
+        outcomes[name] = SizeOutcome(
+            len(chosen),
+            sum(each.is_complete for each in chosen),
+            sum(each.is_refused for each in chosen),
+            sum(each.is_cut for each in chosen),
+        )
+    return outcomes
+
+
 def simulate(
     seed,
     kinds=load.KINDS,
@@ -548,7 +632,12 @@
 
 
 def simulate_large(
-    seed, phases, make_pool=pool.Pool, retries=1, heeds_retry_after=True
+    seed,
+    phases,
+    make_pool=pool.Pool,
+    retries=1,
+    heeds_retry_after=True,
+    gateway_count=8,
 ):
     """Return the `Outcome` of `load.LARGE_KINDS`, whose callers try again."""
     speed = engine.EngineSpeed(
@@ -557,6 +646,7 @@
         prefill_tokens_per_ms=load.LARGE_PREFILL_TOKENS_PER_MS,
     )
     setup = Setup(
+        gateway_count=gateway_count,
         speed=speed,
         reports_load=True,
         retries=retries,
--- a/brasstrail/tools/experiment.py
+++ b/brasstrail/tools/experiment.py
@@ -129,6 +129,23 @@
             f"late {late_share:.3f}, refused {refused_share:.3f}"
             f"{held_text(kind_outcomes)}"
         )
+        yield from size_lines(kind_outcomes)
+
+
+def size_lines(kind_outcomes):
+    """Yield a line on each range of sizes of a kind's requests."""
+    for name in experiment.SIZE_RANGES:
+        total = sum(
+            (outcome.sizes[name] for outcome in kind_outcomes),
+            experiment.SizeOutcome(0, 0, 0, 0),
+        )
+        asked_count = max(1, total.request_count)
+        yield (
+            f"    {name}: {total.request_count} asked, "
+            f"served {total.served / asked_count:.3f}, "
+            f"refused {total.refused / asked_count:.3f}, "
+            f"cut {total.cut / asked_count:.3f}"
+        )
 
 
 def held_text(kind_outcomes):
