Judge a request's wait by the mean of others, not by its own length

Cause: the estimated wait is the work ahead divided by the places that come free, and both were counted in mean times at a server. That mean was taken over the arrivals of one rank at one gateway in 3 s, with the judged request among them. Where 38 gateways share 45 requests a second, two or three are in it: a request of ten times the usual length tripled the time for which all others were thought to hold their places. Of a rank not seen in the last seconds the mean was the request's own need.

The mean now covers the last fifty works of the rank, however long ago they came, and leaves out the newest, which is the one that is judged. The demand in places, which is summed over all gateways, follows the last seconds as before.

--- a/brasstrail/coordination/waits.py
+++ b/brasstrail/coordination/waits.py
@@ -250,7 +250,7 @@
     Attributes
     ----------
     flows : the own `Flow` by (service, rank).
-    means : the `MeanNeed` by (service, rank).
+    means : the `MeanNeed` by (service, rank) and by service.
     times : decayed sums of the measured and the nominal time at a server, by (service,
         rank) and by service.
     told : the rows of each other gateway by its name; a row's key is (service, rank).
@@ -300,7 +300,8 @@
             self.flows[key] = Flow(now_ms, now_ms)
         need = self.need(work)
         self.flows[key].record(need, now_ms)
-        self.means.setdefault(key, MeanNeed()).record(need)
+        for each in (key, work.service):
+            self.means.setdefault(each, MeanNeed()).record(need)
         self.update_usual(key, now_ms, gateway_count)
 
     def size_name(self, work):
@@ -377,11 +378,13 @@
         return total
 
     def mean_need(self, key, default):
-        """Return the mean `Need` of the requests of a rank, or a default."""
-        flow = self.flows.get(key)
-        if flow is None or flow.count < MIN_COUNT:
-            return default
-        return flow.need.times(1.0 / flow.count)
+        """Return the mean `Need` of the requests of a rank.
+
+        Of a rank that was never seen here it is that of all ranks of the service, and
+        the default where there is none.
+        """
+        mean = self.means.get(key) or self.means.get(key[0])
+        return mean.value if mean is not None else default
 
     def told_running(self, service, rank):
         """Return how many requests above a rank other gateways run."""
