Expect the time per token of a server from its host factor before it was measured

The choice for long answers, and the penalty of a server that would miss the deadline, had nothing to go by.

The time at a host factor of 1 is now averaged over all servers of a service, too, and holds for each of them until it was measured. The expected end of an answer at a planned stop follows the same figure.

Evidence: the new test fails without the change and passes with it.

--- a/brasstrail/coordination/loadreports.py
+++ b/brasstrail/coordination/loadreports.py
@@ -137,19 +137,35 @@
             return learned
         return learned + self.trust * (factor - learned)
 
-    def token_ms(self, learned_ms, now_ms):
-        """Return the expected time per output token, of which `learned_ms` is known."""
+    def token_ms(self, learned_ms, now_ms, service_usual_ms=None):
+        """Return the expected time per output token.
+
+        Parameters
+        ----------
+        learned_ms : what own measurements say; it holds without reports, and as far as
+            they are not trusted.
+        service_usual_ms : the time at a host factor of 1 at the servers of the service,
+            which holds until this one was measured, or None.
+        """
         factor = self.factor(now_ms)
-        if factor is None or self.usual_token_ms is None:
+        usual_ms = self.usual_token_ms or service_usual_ms
+        if factor is None or usual_ms is None:
             return learned_ms
-        return learned_ms + self.trust * (self.usual_token_ms * factor - learned_ms)
+        return learned_ms + self.trust * (usual_ms * factor - learned_ms)
+
+    def usual_time(self, token_ms):
+        """Return a measured time per output token as it is at a host factor of 1.
+
+        It is None if the server told no factor.
+        """
+        factor = self.factor(self.reported_ms)
+        return None if factor is None else token_ms / factor
 
     def record_token_time(self, token_ms):
         """Record a measured time per output token, at the host factor last told."""
-        factor = self.factor(self.reported_ms)
-        if factor is None:
+        usual_ms = self.usual_time(token_ms)
+        if usual_ms is None:
             return
-        usual_ms = token_ms / factor
         if self.usual_token_ms is None:
             self.usual_token_ms = usual_ms
         self.usual_token_ms += TOKEN_TIME_SMOOTHING_FACTOR * (
--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -308,6 +308,8 @@
     rank_arrivals_ms : the last arrival of each rank, by service.
     rank_shares : `shares.RankShares` by service.
     service_times_ms : moving average of how long requests occupy capacity, by service.
+    usual_token_ms : moving average of the time for each output token at a host factor
+        of 1, by service.
     gateway_count : how many gateways send work to the same servers.
     wants : the ranks of the works that would go to a limited server if there were a
         permit, by server.
@@ -333,6 +335,7 @@
         self.rank_arrivals_ms = {}
         self.rank_shares = collections.defaultdict(shares.RankShares)
         self.service_times_ms = {}
+        self.usual_token_ms = {}
         self.gateway_count = 1
         self.wants = {}
         self.wanted = []
@@ -499,6 +502,25 @@
         if server is not None:
             server.token_ms += SPEED_SMOOTHING_FACTOR * (token_ms - server.token_ms)
             server.host.record_token_time(token_ms)
+            self.record_usual_token_time(server, token_ms)
+
+    def record_usual_token_time(self, server, token_ms):
+        """Update the usual time per token of a service, which tells its host factors.
+
+        One gateway gets few answers of each server, and many of a service.
+        """
+        usual_ms = server.host.usual_time(token_ms)
+        if usual_ms is not None:
+            service = server.announcement.service
+            previous_ms = self.usual_token_ms.setdefault(service, usual_ms)
+            self.usual_token_ms[service] += SPEED_SMOOTHING_FACTOR * (
+                usual_ms - previous_ms
+            )
+
+    def token_ms(self, server, now_ms):
+        """Return the expected time for each output token at a server."""
+        usual_ms = self.usual_token_ms.get(server.announcement.service)
+        return server.host.token_ms(server.token_ms, now_ms, usual_ms)
 
     def remove_running(self, identity, work):
         """Record that a request has left a server."""
@@ -763,7 +785,7 @@
         likelier it misses the deadline. Long answers therefore go to fast servers, and
         a server that would miss the deadline ranks behind all others.
         """
-        token_ms = server.host.token_ms(server.token_ms, decode_start_ms)
+        token_ms = self.token_ms(server, decode_start_ms)
         decode_ms = work.output_tokens * token_ms
         remaining_ms = max(1.0, work.caller_deadline_ms - decode_start_ms)
         if decode_ms > remaining_ms:
@@ -972,7 +994,7 @@
         """Return how long a request of a service occupies capacity, in ms."""
         return self.service_times_ms.get(service, DEFAULT_SERVICE_TIME_MS)
 
-    def expected_answer_ms(self, work):
+    def expected_answer_ms(self, work, now_ms):
         """Return how long a whole answer takes, in ms, at the fastest ready server.
 
         Other requests at the server are not counted.
@@ -981,7 +1003,7 @@
             return self.service_time_ms(work.service)
         token_ms = min(
             (
-                server.token_ms
+                self.token_ms(server, now_ms)
                 for server in self.servers.values()
                 if self.is_ready(server) and work.may_run_on(server)
             ),
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -258,6 +258,25 @@
         short_work = dataclasses.replace(make_work("s"), output_tokens=5)
         self.assertEqual(gateway_pool.choose(short_work, (), 0).identity, "slow")
 
+    def test_long_answer_avoids_slower_server_that_was_not_measured_here(self):
+        """Guards against long answers that are cut at their deadline on slow hosts.
+
+        A gateway that has measured one server knows what the others' host factors mean.
+        """
+        gateway_pool = make_pool(
+            announce("measured"), announce("slow"), announce("fast", "west")
+        )
+        factors = {"measured": 1.0, "slow": 1.2, "fast": 0.8}
+        for identity, factor in factors.items():
+            report = servers.LoadReport(0, 0, 2, factor)
+            gateway_pool.record_report((identity, 1), report, 0)
+        gateway_pool.record_token_time("measured", 6.0)
+        tried = frozenset(("measured",))
+        long_work = dataclasses.replace(make_work("l"), output_tokens=400)
+        self.assertEqual(gateway_pool.choose(long_work, tried, 0).identity, "fast")
+        short_work = dataclasses.replace(make_work("s"), output_tokens=5)
+        self.assertEqual(gateway_pool.choose(short_work, tried, 0).identity, "slow")
+
     def test_failing_server_announced_as_ready_is_avoided(self):
         gateway_pool = make_pool(announce("a"), announce("b"))
         for _ in range(5):
--- a/brasstrail/roles/shutdown.py
+++ b/brasstrail/roles/shutdown.py
@@ -81,7 +81,7 @@
         if self.since_ms is None:
             return math.inf
         pool = self.gateway.pool
-        expected_ms = pool.expected_answer_ms(work)
+        expected_ms = pool.expected_answer_ms(work, clock.now_ms())
         if pool.engines.get(work.service) is None:
             expected_ms *= PLAIN_SERVICE_TIMES
         return self.answer_ms - expected_ms
