--- a/brasstrail/coordination/waits_test.py
+++ b/brasstrail/coordination/waits_test.py
@@ -225,6 +225,31 @@
         self.assertAlmostEqual(self.wait_ms(2800), self.wait_ms(280), delta=1)
 
 
+class ReportedSizesTest(unittest.TestCase):
+    """What logs and metrics tell of a request's length."""
+
+    def test_size_is_relative_to_the_mean_of_the_others_of_its_rank(self):
+        gateway_pool = make_reporting_pool()
+        works = [pool_test.make_work(str(number), CHAT_RANK) for number in range(20)]
+        for work in works:
+            gateway_pool.record_arrival(work)
+        names = []
+        for output_tokens in (5, 15, 60):
+            work = dataclasses.replace(works[0], output_tokens=output_tokens)
+            gateway_pool.record_arrival(work)
+            names.append(gateway_pool.estimates.size_name(work))
+        self.assertEqual(tuple(names), waits.SIZE_NAMES)
+
+    def test_refusal_is_explained_where_the_capacity_is_known(self):
+        work = pool_test.make_work("w", CHAT_RANK)
+        self.assertEqual(pool_test.make_pool().explain_wait(work, 0), {})
+        gateway_pool = make_reporting_pool()
+        pool_test.enqueue_work(gateway_pool, pool_test.make_work("q", CHAT_RANK))
+        fields = gateway_pool.explain_wait(work, 0)
+        self.assertEqual(fields["mean_need_ms"], fields["ahead_ms"])
+        self.assertEqual(fields["running"], 0)
+
+
 class OtherGatewaysTest(unittest.TestCase):
     """What other gateways tell, or do not."""
 
