Weigh a missed deadline by its chance when a server is chosen

Cause: what the length of an answer adds to a server's score was the square of its time over the time left. An answer of usual length takes 3.4 s of 15 s at a slow host, which counted 0.6 s more than a fast one, although hardly any such answer is too late. With true times all answers therefore crowded on the third of the hosts that is fast, before the prompts of the urgent classes.

The new test fails without the change and passes with it.

--- a/brasstrail/coordination/pool.py
+++ b/brasstrail/coordination/pool.py
@@ -15,6 +15,7 @@
 import dataclasses
 import functools
 import itertools
+import math
 import random
 
 from brasstrail.coordination import (
@@ -56,8 +57,11 @@
 SAME_REGION_COST_MS = 15.0
 OTHER_REGION_COST_MS = 110.0
 # Added to the score where an answer would end too late to be of use: more than any
-# other delay.
+# other delay. As an expectation it counts by the chance of that.
 MISSED_DEADLINE_PENALTY_MS = 20_000.0
+# Standard deviation of the logarithm of an answer's length against its estimate, which
+# is right at the median and often off by half.
+LENGTH_ERROR_SIGMA = 0.5
 # After a failure a server receives no requests for a back-off period, which doubles
 # with each further failure.
 MIN_BACKOFF_MS = 300
@@ -781,16 +785,17 @@
     def deadline_risk_ms(self, server, work, decode_start_ms):
         """Return what the length of an answer adds to a server's score, in ms.
 
-        The larger the fraction of the remaining time that an answer takes, the
-        likelier it misses the deadline. Long answers therefore go to fast servers, and
-        a server that would miss the deadline ranks behind all others.
+        It is the penalty times the chance that the answer misses the deadline, as its
+        expected length is an estimate. Long answers therefore go to fast servers, which
+        short ones leave to them, and a server that would miss the deadline ranks behind
+        all others.
         """
         token_ms = self.token_ms(server, decode_start_ms)
         decode_ms = work.output_tokens * token_ms
         remaining_ms = max(1.0, work.caller_deadline_ms - decode_start_ms)
         if decode_ms > remaining_ms:
             return MISSED_DEADLINE_PENALTY_MS
-        return decode_ms * decode_ms / remaining_ms
+        return MISSED_DEADLINE_PENALTY_MS * miss_chance(decode_ms / remaining_ms)
 
     def expected_first_answer_ms(self, server, work):
         """Return how long a first answer takes under a server's present load.
@@ -1023,3 +1028,17 @@
         self.service_times_ms[service] = previous_ms + SERVICE_TIME_SMOOTHING_FACTOR * (
             observed_ms - previous_ms
         )
+
+
+def miss_chance(expected_fraction):
+    """Return the chance that an answer takes longer than the time that is left.
+
+    `expected_fraction` is the part of that time that it is expected to take.
+
+    >>> round(miss_chance(1.0), 2), round(miss_chance(0.5), 2)
+    (0.5, 0.08)
+    """
+    if expected_fraction <= 0.0:
+        return 0.0
+    deviations = math.log(expected_fraction) / LENGTH_ERROR_SIGMA
+    return (1.0 + math.erf(deviations / math.sqrt(2))) / 2
--- a/brasstrail/coordination/pool_test.py
+++ b/brasstrail/coordination/pool_test.py
@@ -277,6 +277,18 @@
         short_work = dataclasses.replace(make_work("s"), output_tokens=5)
         self.assertEqual(gateway_pool.choose(short_work, tried, 0).identity, "slow")
 
+    def test_answer_of_usual_length_leaves_distant_fast_server_to_longer_ones(self):
+        """Guards against answers with time to spare that all crowd on fast hosts."""
+        gateway_pool = make_pool(announce("slow"), announce("fast", "far"))
+        gateway_pool.servers["slow"].token_ms = 12.0
+        gateway_pool.servers["fast"].token_ms = 5.0
+        usual = dataclasses.replace(
+            make_work("u"), output_tokens=280, caller_deadline_ms=15_000
+        )
+        self.assertEqual(gateway_pool.choose(usual, (), 0).identity, "slow")
+        longer = dataclasses.replace(usual, output_tokens=1000)
+        self.assertEqual(gateway_pool.choose(longer, (), 0).identity, "fast")
+
     def test_failing_server_announced_as_ready_is_avoided(self):
         gateway_pool = make_pool(announce("a"), announce("b"))
         for _ in range(5):
